Answers timed by a standing clock no longer make a new gatekeeper hedge at once

Cause: after a start whose own work was counted ahead, the process's clock stands still for 0.5 to 1.5 s (a probe of all system clocks showed the same standing figure). Answers then took 0.000 s. `Fleet.returned` took the first one for the class's usual time (`setdefault(klass.name, took)`), so `_send` set the hedge for at once, and `_brisk` became 0, by which `_has_room` divided. One gatekeeper wastes ten copies so; forty together double the load. Ruled out: the first guess of the usual time, which is longer than the real one. Design: an answer in no time says that the clock stood; what was sent until then is not learned from. The usual time starts from the guess and is learned from several answers, and no hedge comes before a quarter of the aim.

--- a/micagate/control.py
+++ b/micagate/control.py
@@ -37,6 +37,8 @@
 
 # Fleet and attempts: ours, since the design leaves them open.
 LEARN = 0.15  # weight of a new answer in what was learned
+GUESSES = 2.0  # answers that the first guess of a class's answer time weighs as much as
+SOONEST = 0.25  # of the aim: no hedge before it
 FORGET = 10.0  # seconds in which an old judgement of a worker's speed fades
 FAR = 1.1  # a worker elsewhere must be this much better than one in the own zone
 NEAR = 8  # workers that a gateway among many keeps to: each is met every few seconds
@@ -300,6 +302,8 @@
         self.serving = 0
         self._brisk = math.inf  # the shortest usual answer time so far, of the class that takes longest
         self._answers = 0
+        self._timed: dict[str, int] = {}  # answers by class that the usual time is learned from
+        self._stood = -math.inf  # until when the clock is known to have stood still
         self._near: list[Worker] = []  # the own few of the usable ones
         self._aim = min(c.aim for c in settings.classes)
 
@@ -332,6 +336,15 @@
         """The usual answer time of a class; its aim's tenth until something is known."""
         return self._usual.get(klass.name, klass.aim / 10)
 
+    def _learn(self, klass: i.RequestClass, took: float) -> None:
+        """Learn a class's usual answer time: from the guess soon, from what is known slowly.
+
+        Guards against a first answer that came by chance at once or late, which stood for what is usual.
+        """
+        seen = self._timed[klass.name] = self._timed.get(klass.name, 0) + 1
+        usual = self.usual(klass)
+        self._usual[klass.name] = usual + max(LEARN / 3, 1 / (seen + GUESSES)) * (took - usual)
+
     def _stalled(self, now: float, worker: Worker) -> bool:
         """Whether all that is out at a worker goes unanswered well beyond the usual.
 
@@ -557,6 +570,19 @@
         least = min((self._loss(now, w, klass) for w in self.workers.values() if w.usable), default=0.0)
         return self._loss(now, worker, klass) > max(LOSSY, LOSSIER * least)
 
+    def _measured(self, now: float, sent: float, took: float) -> bool:
+        """Whether an answer's time was measured by a clock that ran.
+
+        An answer in no time at all says that the clock stood still: as after a suspension, a step back, or a
+        start whose own work was counted ahead. What was sent until then took longer than it seems. Guards
+        what is usual against such times: one of nothing made every request be hedged at once, with all its
+        attempts, at each gateway that had just started. Harm: on a clock too coarse to tell, nothing is
+        learned from the quickest answers.
+        """
+        if took <= 0:
+            self._stood = now
+        return sent > self._stood
+
     def returned(self, now: float, name: str, key: tuple[str, int], klass: i.RequestClass,
                  status: str, took: float) -> None:
         """An attempt's outcome, whatever became of its request."""
@@ -577,12 +603,14 @@
         if status == i.SUCCESS:
             self._fade(now)
             self._done += 1
-            usual = self._usual.setdefault(klass.name, took)
+            worker.fails = 0
+            if not self._measured(now, sent, took):
+                return
             self._tell(now, took, klass.aim)
             worker.slow = self._slow(now, worker)
-            worker.slow += LEARN * (min(10.0, took / max(usual, 1e-6)) - worker.slow)
-            worker.learned, worker.fails = now, 0
-            self._usual[klass.name] = usual + LEARN / 3 * (took - usual)
+            worker.slow += LEARN * (min(10.0, took / max(self.usual(klass), 1e-6)) - worker.slow)
+            worker.learned = now
+            self._learn(klass, took)
             self._answers += 1
             if self._answers >= ENOUGH:
                 self._brisk = min(self._brisk, max(self._usual.values()))
@@ -727,7 +755,7 @@
         self.fleet.sent(now, worker, (name, number), klass)
         self._actions.append(i.Send(name, worker))
         attempt.timers.append(self._set_timer(klass.aim, "aim", name, number))
-        hedge = min(STALL * self.fleet.usual(klass), klass.aim / 2)
+        hedge = min(max(STALL * self.fleet.usual(klass), SOONEST * klass.aim), klass.aim / 2)
         if number + 1 < self._s.max_attempts and klass.effect != i.SIDE_EFFECT:
             attempt.timers.append(self._set_timer(hedge, "hedge", name, number))
 
