A newborn gateway's ceiling starts ahead by part of the rule's slack

Cause: `Account.__init__` lets a gateway's share of the ceiling fill from nothing at its birth, since an earlier life may have spent it. By one of three gateways, a calm customer's first order waits four seconds. The guard is right, but the slack that the rule grants was used by nothing. Design: the share starts with three quarters of the slack, split over the customer's gateways: even where all of them are born with the ceiling spent, they stay inside the slack. Ruled out: the whole share at birth where the meter shows little use, as one reading tells of a second and the store holds eight.

--- a/micagate/control.py
+++ b/micagate/control.py
@@ -33,6 +33,7 @@
 SMOOTH = 2.0  # seconds that a reading of the meter should span; shorter ones are averaged (ours)
 AIMED = 0.9  # of the quota: what the slices steer the metered use to (ours)
 UNSEEN = 0.5  # use taken for granted before the first reading: most customers are calm (ours)
+NEWBORN = 0.75  # of the ceiling's slack: what all gateways may take ahead of it after a start (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
 
 # Fleet and attempts: ours, since the design leaves them open.
@@ -167,8 +168,10 @@
         self.plan, self.spread = plan, spread
         self.depth, self.floor = plan.burst / spread, plan.rate / spread
         self.slice, self.store = self.floor, self.depth
-        # An earlier life of this gateway may have spent its share of the ceiling: it fills from this birth.
-        self.ceiling = min(plan.ceiling_depth, (now - born) * plan.ceiling_rate) / spread
+        # An earlier life of this gateway may have spent its share of the ceiling: it fills from this birth,
+        # ahead by a part of the slack, or calm customers would wait for seconds for their first request.
+        ahead = NEWBORN * plan.ceiling_slack
+        self.ceiling = min(plan.ceiling_depth, ahead + (now - born) * plan.ceiling_rate) / spread
         self.at = self.tick = now
         self.asked = self.forecast = self.longer = self.top = 0.0
         self.use, self.read, self.readings, self.fresh = UNSEEN, now, 0, False
