Discovery is asked for changes since the version held, and less often when overbooked

Restarted gateways go on sending to servers that drained or left: 677 attempts in 2.5 s found nobody, beside 196 answers. Cause: `Discovery._drop` forgets the version at every failure, so every retry asks for the whole list, the dearest call there is, once a second with no jitter; the start does not use the version of `known` either. Harmless from one, it keeps the service that all share shut for good. Ruled out: the agent (it answers in 2 ms) and the watch itself (those that stand go on being served). Design: the version of `known` is where the first watch goes on; a lost or silent connection keeps it; a 503 comes again as a call for the changes, after 0.5 to 8 s, doubling, with jitter. A malformed answer or a move still asks for the whole list.

--- a/oliveloft/__main__.py
+++ b/oliveloft/__main__.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import time
+from random import Random
 
 import uvloop
 
@@ -47,11 +48,14 @@
         if len(workers):
             server.able()
 
+    held: int | None = None  # the version of the list that was known
     if config.known is not None:
         try:
             known = News({"index": 0, **config.known}, offset)
             known.whole = True
             tell(known)
+            if "index" in config.known and known.endpoints and not known.skipped:
+                held = known.index  # only a list that was taken whole can be brought up to date by changes
         except ValueError as error:
             log.warning("known: %s; starting without", error)
     stop = asyncio.Event()
@@ -61,7 +65,7 @@
         listener = await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
     except OSError as error:
         raise ConfigError(f"listen: {error.strerror or error}") from error
-    discovery = Discovery(loop, config.discovery, offset, tell)
+    discovery = Discovery(loop, config.discovery, offset, tell, held, Random(config.seed))
     discovery.start()
 
     def reload() -> None:
--- a/oliveloft/discovery.py
+++ b/oliveloft/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 from collections.abc import Callable
+from random import Random
 from typing import Any, cast
 
 import httptools
@@ -20,6 +21,7 @@
 WAIT = 5.0  # seconds that a watch may stay open: a silent agent is noticed soon after
 SILENCE = 1.5  # seconds beyond that, or for an answer that needs no wait, after which the agent is silent
 BACKOFF, LONGEST_BACKOFF = 0.1, 1.0  # seconds between tries to reconnect
+BUSY, LONGEST_BUSY = 0.5, 8.0  # seconds, about, between calls that discovery turns away as too many
 MAX_LIST = 4 * 1024 * 1024
 
 
@@ -101,7 +103,7 @@
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            watch.failed(f"malformed answer: {error}")
+            watch.failed(f"malformed answer: {error}", afresh=True)
             return
         if self._whole:
             watch.answered(parser.get_status_code(), b"".join(self._body), not parser.should_keep_alive())
@@ -132,14 +134,21 @@
 
 
 class Discovery:
-    """One watch after another; after any failure a new connection and the whole list."""
+    """One watch after another; after any failure a new connection.
+
+    `held` is the version of the list that the gatekeeper started with, if any. As long as a version is held,
+    only what has changed since is asked for. Guards the service that all gatekeepers share: forty that start
+    at once, each with a call for the whole list, keep it busy for many seconds, in which it turns away every
+    watch. Harm: an agent that had forgotten what a version meant would leave the list as it is.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], offset: float,
-                 tell: Callable[[News], None]) -> None:
+                 tell: Callable[[News], None], held: int | None = None, random: Random | None = None) -> None:
         self._loop, self._where, self._offset, self._tell = loop, where, offset, tell
+        self._random = random or Random()
         self._link: Link | None = None
-        self._index: int | None = None
-        self._pause = BACKOFF
+        self._index = held  # the version of the list that stands; None: the whole list is due
+        self._pause, self._busy = BACKOFF, BUSY
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._failing = False
@@ -166,11 +175,12 @@
         if where == self._where:
             return
         self.stop()
-        self._where, self._pause, self._failing = where, BACKOFF, False
+        self._where, self._pause, self._busy, self._failing = where, BACKOFF, BUSY, False
+        self._index = None
         self.start()
 
     def _drop(self) -> None:
-        link, self._link, self._index = self._link, None, None
+        link, self._link = self._link, None
         if link is not None:
             link.drop()
 
@@ -182,15 +192,31 @@
         except (OSError, TimeoutError) as error:
             self.failed(f"cannot connect: {error or 'timed out'}")
 
-    def failed(self, why: str) -> None:
-        """Try again later; the old list stands."""
+    def failed(self, why: str, afresh: bool = False) -> None:
+        """Try again later, `afresh` with the whole list; the old list stands."""
         self._drop()
+        if afresh:
+            self._index = None
         if not self._failing:
             log.warning("discovery: %s; keeping the list and trying again", why)
         self._failing = True
         self._after(self._pause, self.start)
         self._pause = min(LONGEST_BACKOFF, 2 * self._pause)
 
+    def _turned_away(self) -> None:
+        """Discovery is overbooked: ask again later, at a time of this gatekeeper's own (jitter).
+
+        Guards the service that all gatekeepers share: calls that come again at once keep out the others', and
+        forty callers once a second keep it shut for good. Harm: a list may be some seconds older than it
+        need be.
+        """
+        if not self._failing:
+            log.warning("discovery: turned away; keeping the list and trying again")
+        self._drop()
+        self._failing = True
+        self._after(self._busy * (0.5 + 0.5 * self._random.random()), self.start)
+        self._busy = min(LONGEST_BUSY, 2 * self._busy)
+
     def _after(self, delay: float, call: Callable[[], None]) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -207,19 +233,23 @@
 
     def answered(self, status: int, body: bytes, ended: bool) -> None:
         """Pass on what an answer says, and ask for what comes next, unless its connection ends with it."""
+        if status == 503:
+            self._turned_away()
+            return
         try:
             if status != 200:
                 raise ValueError(f"status {status}")
             news = News(json.loads(body), self._offset)
         except (ValueError, RecursionError) as error:
-            self.failed(f"malformed answer: {error}")
+            self.failed(f"malformed answer: {error}", afresh=True)
             return
         if self._index is None and not news.whole:
-            self.failed("no whole list")
+            self.failed("no whole list", afresh=True)
             return
         if self._failing:
             log.info("discovery: back")
-        self._failing, self._pause, self._index = False, BACKOFF, news.index
+        self._failing, self._pause, self._busy = False, BACKOFF, BUSY
+        self._index = news.index
         if news.skipped and news.skipped != self._skipped:
             log.warning("discovery: skipped a malformed entry: %s", news.skipped)
         self._skipped = news.skipped
