A class's usual time is the mean of its first answers; the guess no longer judges workers

Seen: one of the inherited tests hung now and then, with 50,986 requests in a row to one of two workers. Line at fault: the ratio in `Fleet.returned`. Design: what is learned is the plain mean at first, and the first answer judges no worker; the guess is mixed in only where a hedge or a patience is set.

--- a/micagate/control.py
+++ b/micagate/control.py
@@ -351,17 +351,19 @@
         return [ring[(start + n) % len(ring)] for n in range(few)]
 
     def usual(self, klass: i.RequestClass) -> float:
-        """The usual answer time of a class; its aim's tenth until something is known."""
-        return self._usual.get(klass.name, klass.aim / 10)
-
-    def _learn(self, klass: i.RequestClass, took: float) -> None:
-        """Learn a class's usual answer time: from the guess soon, from what is known slowly.
+        """The usual answer time of a class, with its aim's tenth mixed in until enough is known.
 
         Guards against a first answer that came by chance at once or late, which stood for what is usual.
         """
+        seen = self._timed.get(klass.name, 0)
+        return (seen * self._usual.get(klass.name, 0.0) + GUESSES * klass.aim / 10) / (seen + GUESSES)
+
+    def _learn(self, klass: i.RequestClass, took: float) -> float:
+        """Learn from an answer's time, the first ones soon, later ones slowly; the usual time before it."""
         seen = self._timed[klass.name] = self._timed.get(klass.name, 0) + 1
-        usual = self.usual(klass)
-        self._usual[klass.name] = usual + max(LEARN / 3, 1 / (seen + GUESSES)) * (took - usual)
+        usual = self._usual.get(klass.name, took)
+        self._usual[klass.name] = usual + max(LEARN / 3, 1 / seen) * (took - usual)
+        return usual
 
     def _stalled(self, now: float, worker: Worker) -> bool:
         """Whether all that is out at a worker goes unanswered well beyond the usual.
@@ -631,9 +633,9 @@
                 return
             self._tell(now, took, klass.aim)
             worker.slow = self._slow(now, worker)
-            worker.slow += LEARN * (min(10.0, took / max(self.usual(klass), 1e-6)) - worker.slow)
+            usual = self._learn(klass, took)
+            worker.slow += LEARN * (min(10.0, took / max(usual, 1e-6)) - worker.slow)
             worker.learned = now
-            self._learn(klass, took)
             self._answers += 1
             if self._answers >= ENOUGH:
                 self._brisk = min(self._brisk, max(self._usual.values()))
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -45,3 +45,13 @@
     name, actions = d.ask(after=1.0)
     assert sends(d.pass_time(0.2)) == []
     d.answer(name, sends(actions)[0], i.SUCCESS, took=0.2)
+
+
+def test_a_class_s_first_answers_outweigh_the_guess_and_judge_no_worker_by_it():
+    d = Driver()
+    klass = d.gateway._classes["read"]
+    for _ in range(20):
+        name, actions = d.ask(after=0.1)
+        d.answer(name, sends(actions)[0], took=0.01, after=0.01)
+    assert d.gateway.fleet.usual(klass) < 0.03  # the guess is 0.1
+    assert all(w.slow == 1.0 for w in d.gateway.fleet.workers.values())
