Customers not metered yet get less credit where many gateways each grant it

Cause: `Account.__init__` takes a customer without readings for half in use, which grants credit of two requests. Harmless from three gateways, it is 60 requests from thirty, where the burst holds 14 units, and a flood takes them all before the meter tells. Ruled out: the step of the slice and the meter's smoothing, by a probe of thirty gateways with a late meter, where both change little. Design: where the credits of all the customer's gateways exceed its burst, 0.7 in use is taken for granted until the first reading.

--- a/micagate/control.py
+++ b/micagate/control.py
@@ -34,6 +34,7 @@
 AIMED = 0.9  # of the quota: what the slices steer the metered use to (ours)
 UNSEEN = 0.5  # use taken for granted before the first reading: most customers are calm (ours)
 NEWBORN = 0.75  # of the ceiling's slack: what all gateways may take ahead of it after a start (ours)
+UNSEEN_THIN = 0.7  # the same where the credits of all its gateways together are more than its burst (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
 
 # Fleet and attempts: ours, since the design leaves them open.
@@ -174,7 +175,10 @@
         self.ceiling = min(plan.ceiling_depth, ahead + (now - born) * plan.ceiling_rate) / spread
         self.at = self.tick = now
         self.asked = self.forecast = self.longer = self.top = 0.0
-        self.use, self.read, self.readings, self.fresh = UNSEEN, now, 0, False
+        # What is harmless from a few gateways is not from forty: each takes a customer it knows nothing of as
+        # calm and grants it credit, and a flood takes all of these before the first reading tells of it.
+        thin = LEAST * spread > plan.burst
+        self.use, self.read, self.readings, self.fresh = UNSEEN_THIN if thin else UNSEEN, now, 0, False
         self.out = 0
 
     def metered(self, now: float, used: float, period: float) -> None:
