The few-answers guard refuses later: forty of them shut out what the fleet had room for

Cause: `Fleet._slow_all_over` begins to refuse where answers take a fifth of their aim, and refuses all at two fifths. One gateway's few answers scatter across that range with servers that are merely in use; each refusal counts as an overload signal, so that forty gateways start control on chance. Design: from 0.3 to 0.6 of the aim; the bound under which silence tells of losses stays at 0.2, now by itself.

--- a/micagate/control.py
+++ b/micagate/control.py
@@ -49,7 +49,8 @@
 RECENT = 2.0  # seconds over which the fleet's pace is averaged
 LATE_SHARE, OLD_SHARE = 0.5, 0.15  # of the aim: expected answer time and mean age out of a sure latecomer
 ENOUGH = 10.0  # attempts out or just answered that Little's law needs to mean something
-LOW_SHARE, HIGH_SHARE = 0.2, 0.4  # of the aim: pooled answer time at which none, and all, are refused
+LOW_SHARE, HIGH_SHARE = 0.3, 0.6  # of the aim: pooled answer time at which none, and all, are refused
+BRISK_SHARE = 0.2  # of the aim: pooled answer time under which answers are brisk, and silence tells of losses
 YOUNG_SHARE = 0.05  # of the aim: mean age under which what is out is a burst, not a queue
 SPELL, PRIOR = 2.0, 1.0  # seconds of answers pooled where there are fewer, and usual ones mixed in
 SPARE = 1.0  # of the work that a cold worker bears beyond its capacity: what all send by turns (cold guard)
@@ -580,7 +581,7 @@
         Guards against control over losses of the network, hung and dying workers. Harm: where part of the
         fleet is overloaded and the rest is not, silence starts control only by what comes late.
         """
-        return self._took < LOW_SHARE * self._aims and self._lost <= self._aims
+        return self._took < BRISK_SHARE * self._aims and self._lost <= self._aims
 
     def overtaken(self, name: str, sent: float) -> bool:
         """Whether the worker has answered something that was sent to it later."""
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -245,3 +245,15 @@
     throttle._due = throttle._leaked = d.now + 60
     d.ask("write")
     assert len(throttle._signals) == seen + 1  # refused by the bucket: none
+
+
+def test_answers_at_a_quarter_of_the_aim_are_no_overload_where_few_are_seen():
+    # Forty gateways that each see a few answers would otherwise refuse together what the fleet has room for.
+    for took, refused in ((1.0, False), (3.2, True)):
+        d = Driver(gateways=40)
+        assert sends(d.ask("write")[1])
+        d.now += 0.1
+        fleet = d.gateway.fleet
+        fleet._answers, fleet._took, fleet._aims, fleet._told_at = 20, took, 4.0, d.now
+        assert fleet.few()
+        assert (fleet._slow_all_over(d.now) > 0) is refused
