--- a/micagate/control.py
+++ b/micagate/control.py
@@ -776,14 +776,14 @@
         advice = min(self._s.max_retry_advice, ADVICE * aim) * (0.5 + 0.5 * self._random.random())
         self._actions.append(i.Refuse(request, advice))
 
-    def _send(self, now: float, pending: Pending, worker: str) -> None:
+    def _send(self, now: float, pending: Pending, worker: str, latest: float = 0.0) -> None:
         name, number, klass = pending.request.request, len(pending.attempts), pending.klass
         attempt = Attempt(self.fleet.workers[worker].entry, klass, now, pending.account)
         pending.attempts.append(attempt)
         pending.account.out += 1
         self._out[name, number] = attempt
         self.fleet.sent(now, worker, (name, number), klass)
-        self._actions.append(i.Send(name, worker))
+        self._actions.append(i.Send(name, worker, latest=latest))
         attempt.timers.append(self._set_timer(klass.aim, "aim", name, number))
         hedge = min(max(STALL * self.fleet.usual(klass), SOONEST * klass.aim), klass.aim / 2)
         if number + 1 < self._s.max_attempts and klass.effect != i.SIDE_EFFECT:
@@ -882,13 +882,15 @@
 
     def _again(self, now: float, pending: Pending) -> bool:
         """Send a further attempt if effect, group, window, budget and bucket allow."""
-        klass, zone, cell = pending.klass, None, None
+        klass, zone, cell, latest = pending.klass, None, None, 0.0
         anchor = next((a for a in pending.attempts if a.status not in i.NEVER_RAN), None)
         if anchor is not None:
             if klass.effect == i.SIDE_EFFECT:
                 return False
             if klass.effect == i.TOKEN:
-                if now > anchor.sent + klass.window - self._s.tick:
+                # Guards the window against a connection that comes up after it: the repeat would run again.
+                latest = anchor.sent + klass.window - self._s.tick - now
+                if latest <= 0:
                     return False
                 zone = anchor.zone if klass.group == "zone" else None
                 cell = anchor.cell if klass.group == "cell" else None
@@ -898,7 +900,7 @@
         if worker is None or self.fleet.overdue(now, pending.account.room()) or not self.throttle.admit(now):
             return False
         self._budget -= 1
-        self._send(now, pending, worker)
+        self._send(now, pending, worker, latest)
         return True
 
     def _end(self, pending: Pending) -> None:
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -182,11 +182,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; it times out after `within` seconds, or with the client where that is 0."""
+    """Start an attempt; it times out after `within` seconds, or with the client where that is 0.
+
+    Where its connection comes up more than `latest` seconds from now, it is void; 0 sets no such limit.
+    """
 
     request: str
     worker: str
     within: float = 0.0
+    latest: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/oliveloft/gateway.py
+++ b/oliveloft/gateway.py
@@ -58,10 +58,19 @@
         return request
 
     def abandon(self, request: Request) -> None:
-        """The client has left."""
+        """The client has left: what has not been written to a worker yet never is."""
         if not request.ended:
             self._close(request)
             self._hand(i.Abandoned(request.event.request), request.event.request)
+            self._withhold(request)
+
+    def _withhold(self, request: Request) -> None:
+        """A request has ended: its attempts whose connections are still to come up are void.
+
+        The module hears of the end first, or it would send them again.
+        """
+        for attempt in request.attempts:
+            attempt.withhold()
 
     def news(self, news: News) -> None:
         """Discovery has told of changes."""
@@ -101,13 +110,13 @@
                 timer = self._loop.call_later(max(0.0, delay), self._fired, ref, about)
                 if (request := self._requests.get(about)) is not None:
                     request.timers.append(timer)
-            case i.Send(name, worker, within):
-                self._send(name, worker, within)
+            case i.Send(name, worker, within, latest):
+                self._send(name, worker, within, latest)
             case i.Refuse(name, retry_after):
                 advice = b"Retry-After: %.3f\r\n" % retry_after if retry_after > 0 else b""
-                self._end(self._requests.get(name), 503, advice, b"")
+                self._given_up(name, 503, advice)
             case i.Fail(name):
-                self._end(self._requests.get(name), 502, b"", b"")
+                self._given_up(name, 502, b"")
             case i.Cancel(name, number):
                 request = self._requests.get(name)
                 if request is not None and number < len(request.attempts):
@@ -118,7 +127,13 @@
     def _fired(self, ref: int, about: str) -> None:
         self._hand(i.TimerFired(ref), about)
 
-    def _send(self, name: str, worker: str, within: float) -> None:
+    def _given_up(self, name: str, status: int, headers: bytes) -> None:
+        request = self._requests.get(name)
+        if request is not None:
+            self._end(request, status, headers, b"")
+            self._withhold(request)
+
+    def _send(self, name: str, worker: str, within: float, latest: float) -> None:
         request, now = self._requests.get(name), self._loop.time()
         if request is None:
             log.error("the module sent %s, which is not held", name)
@@ -134,6 +149,7 @@
         if 0 < within < request.deadline - now:
             attempt.deadline = now + within
             attempt.timer = self._loop.call_later(within, attempt.give_up, i.TIMED_OUT)
+        attempt.latest = min(attempt.deadline, now + latest) if latest > 0 else attempt.deadline
         self._workers.send(attempt)
 
     def _reported(self, attempt: Attempt, status: str, answer: Answer | None) -> None:
@@ -148,6 +164,8 @@
             used=answer.used if answer is not None else None)
         self._forget(request)
         self._hand(outcome, attempt.request)
+        if request.ended:
+            self._withhold(request)
 
     def _expired(self, request: Request) -> None:
         """The client's deadline: what is out has timed out, and whoever still waits hears so."""
@@ -158,9 +176,9 @@
             self._end(request, 504, b"", b"")
             self._hand(i.Abandoned(request.event.request), request.event.request)
 
-    def _end(self, request: Request | None, status: int, headers: bytes, body: bytes) -> None:
+    def _end(self, request: Request, status: int, headers: bytes, body: bytes) -> None:
         """The final reply; a second one is none."""
-        if request is None or request.ended:
+        if request.ended:
             return
         reply = request.reply
         self._close(request)
--- a/oliveloft/workers.py
+++ b/oliveloft/workers.py
@@ -60,15 +60,16 @@
 class Attempt:
     """One try at a worker: written at most once, finished exactly once."""
 
-    __slots__ = ("request", "number", "worker", "head", "body", "deadline", "began", "report", "done",
-                 "connection", "timer")
+    __slots__ = ("request", "number", "worker", "head", "body", "deadline", "latest", "began", "report",
+                 "done", "written", "connection", "timer")
 
     def __init__(self, request: str, number: int, worker: str, head: bytes, body: bytes, deadline: float,
                  began: float, report: Callable[[Attempt, str, Answer | None], None]) -> None:
         self.request, self.number, self.worker = request, number, worker
         self.head, self.body, self.deadline, self.began = head, body, deadline, began
+        self.latest = deadline  # the moment from which it may not be written any more
         self.report = report
-        self.done = False
+        self.done = self.written = False
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -93,6 +94,11 @@
             connection.close()
         self.finish(status)
 
+    def withhold(self) -> None:
+        """It is wanted no more: unless it has been written, it never will be."""
+        if not self.written:
+            self.give_up(i.VOID)
+
     def message(self, now: float) -> bytes:
         """The request as it goes to the worker, with what is left of its time."""
         return b"%bX-Timeout: %.3f\r\n\r\n%b" % (self.head, max(0.001, self.deadline - now), self.body)
@@ -152,8 +158,9 @@
         attempt = self.attempt
         if attempt is None or self._closed:
             self.transport.abort()
-        elif self.process.told is not None:
-            # Guards the drain rule: told while this connection came up, so nothing was written.
+        elif self.process.told is not None or self._pool.loop.time() >= attempt.latest:
+            # Guards the rules on drains, windows and late answers: the worker was told to drain, or the time
+            # passed, while this connection came up. Nothing was written.
             self._end(i.VOID)
         else:
             self.send(attempt)
@@ -161,7 +168,7 @@
     def send(self, attempt: Attempt, age: float | None = None) -> None:
         """Write an attempt's request, in one piece; `age` is how long the connection has rested."""
         self.attempt, self._age = attempt, age
-        attempt.connection = self
+        attempt.connection, attempt.written = self, True
         transport = cast(asyncio.Transport, self.transport)
         transport.write(attempt.message(self._pool.loop.time()))
         self._written = not transport.is_closing() and transport.get_write_buffer_size() == 0
--- /dev/null
+++ b/tests/test_late.py
@@ -0,0 +1,172 @@
+"""Connections to workers that come up late: what may have passed meanwhile, and what is then not written."""
+
+import asyncio
+
+import pytest
+from drive import Driver, sends
+from stand import Worker, answer, run, until
+from test_bridge import Case, on
+
+from micagate import interface as i
+
+
+class Late:
+    """A case whose connections come up when the test lets them."""
+
+    def __init__(self, case: Case, held: set[int] | None = None) -> None:
+        self.case, self.go, self.asked = case, asyncio.Event(), 0
+        self.held = held  # ports whose connections come up late; None: all
+        case.workers.loop = self
+
+    def __getattr__(self, name):
+        return getattr(self.case.loop, name)
+
+    async def create_connection(self, make, host, port):
+        """Hold the connection back, then make it."""
+        self.asked += 1
+        if self.held is None or port in self.held:
+            await self.go.wait()
+        return await self.case.loop.create_connection(make, host, port)
+
+
+async def settled(case: Case, worker: Worker, *outcomes: tuple[int, str, bool]) -> None:
+    """Check that the outcomes have come, that the worker was sent nothing and that nothing is left open."""
+    assert case.module.outcomes() == list(outcomes)
+    await until(lambda: worker.closed == worker.connections)
+    assert not worker.seen and not case.workers._open
+
+
+@pytest.mark.parametrize("many", [1, 40])
+def test_what_a_client_asked_that_left_meanwhile_is_not_written(many):
+    async def scenario():
+        worker = await Worker("w").start()
+        case = Case(lambda e: [i.Send(e.request, "w")] if isinstance(e, i.Request) else [])
+        case.workers._limit = 100
+        late = Late(case)
+        case.know(worker)
+        requests = [case.submit(f"r{n}") for n in range(many)]
+        await until(lambda: late.asked == many)
+        for request in requests:
+            case.bridge.abandon(request)
+        late.go.set()
+        kinds = [type(event) for event in case.module.events if getattr(event, "request", "") == "r0"]
+        assert kinds == [i.Request, i.Abandoned, i.Outcome]  # the end first: it is not sent again
+        await settled(case, worker, *[(0, i.VOID, True)] * many)
+        assert not case.replies and not case.bridge._requests
+    run(scenario())
+
+
+def test_a_client_that_leaves_after_its_request_was_written_ends_no_attempt():
+    async def scenario():
+        go = asyncio.Event()
+
+        async def wait(request, writer):
+            await go.wait()
+            await answer()(request, writer)
+
+        worker = await Worker("w", wait).start()
+        case = Case(on(i.Request, i.Send("r", "w")))
+        case.know(worker)
+        request = case.submit()
+        await until(lambda: worker.seen)
+        case.bridge.abandon(request)
+        assert case.module.outcomes() == []
+        go.set()
+        await until(lambda: case.module.outcomes())
+        assert case.module.outcomes() == [(0, i.SUCCESS, True)]
+    run(scenario())
+
+
+@pytest.mark.parametrize("change", [
+    {"status": "draining"}, {"since_ms": 1_700_000_000_000}, {"address": "127.0.0.1:9"}])
+def test_a_worker_that_drains_or_was_replaced_meanwhile_is_sent_nothing(change):
+    async def scenario():
+        worker = await Worker("w").start()
+        case = Case(on(i.Request, i.Send("r", "w")))
+        late = Late(case)
+        case.know(worker)
+        case.submit()
+        await until(lambda: late.asked)
+        case.know(worker, **change)
+        late.go.set()
+        await until(lambda: case.module.outcomes())
+        await settled(case, worker, (0, i.VOID, False))
+    run(scenario())
+
+
+@pytest.mark.parametrize("end", [i.Refuse("r"), i.Fail("r")])
+def test_a_request_that_the_module_has_ended_meanwhile_is_not_written(end):
+    async def scenario():
+        worker = await Worker("w").start()
+        case = Case(on(i.Request, i.Send("r", "w")))
+        late = Late(case)
+        case.know(worker)
+        case.submit()
+        await until(lambda: late.asked)
+        case.module.rules = on(i.TimerFired, end)
+        case.bridge._fired(1, "r")
+        late.go.set()
+        await settled(case, worker, (0, i.VOID, True))
+        assert len(case.replies) == 1 and not case.bridge.holds("r")
+    run(scenario())
+
+
+def test_a_second_copy_is_not_written_once_the_first_has_answered():
+    async def scenario():
+        slow, quick = await Worker("slow").start(), await Worker("quick").start()
+        case = Case(on(i.Request, i.Send("r", "slow"), i.Send("r", "quick")), second_copies=True)
+        late = Late(case, held={slow.port})
+        case.know(slow, quick)
+        case.submit()
+        await until(lambda: case.replies)
+        late.go.set()
+        await until(lambda: len(case.module.outcomes()) == 2)
+        await until(lambda: slow.closed == slow.connections)
+        assert case.module.outcomes() == [(1, i.SUCCESS, True), (0, i.VOID, True)]
+        assert case.replies == [200] and not slow.seen
+    run(scenario())
+
+
+@pytest.mark.parametrize(("latest", "left"), [(0.02, 3.0), (0.0, 0.02)])
+def test_nothing_is_written_once_its_window_or_its_deadline_has_passed(latest, left):
+    async def scenario():
+        worker = await Worker("w").start()
+        case = Case(on(i.Request, i.Send("r", "w", latest=latest)))
+        late = Late(case)
+        case.know(worker)
+        request = case.submit(left=left)
+        request.timer.cancel()  # as where this process stood still: the connection is told of first
+        began = case.loop.time()
+        await until(lambda: late.asked and case.loop.time() > began + 0.03)
+        late.go.set()
+        await until(lambda: case.module.outcomes())
+        await settled(case, worker, (0, i.VOID, False))
+    run(scenario())
+
+
+def test_a_connection_that_comes_up_within_the_window_is_written_to():
+    async def scenario():
+        worker = await Worker("w").start()
+        case = Case(on(i.Request, i.Send("r", "w", latest=2.0)))
+        late = Late(case)
+        case.know(worker)
+        case.submit()
+        await until(lambda: late.asked)
+        late.go.set()
+        await until(lambda: case.replies)
+        assert case.replies == [200] and len(worker.seen) == 1
+    run(scenario())
+
+
+def test_a_further_attempt_of_a_keyed_request_names_the_end_of_its_window():
+    d = Driver()
+    name, actions = d.ask("keyed")
+    first = next(a for a in actions if isinstance(a, i.Send))
+    assert first.latest == 0.0  # it opens the window
+    again = d.answer(name, first.worker, i.FAILURE, after=1.5)
+    (second,) = [a for a in again if isinstance(a, i.Send)]
+    assert second.latest == pytest.approx(2.0 - 1.5 - 0.001)
+    # What never ran opens no window: the next attempt is a first one again.
+    name, actions = d.ask("keyed")
+    again = d.answer(name, sends(actions)[0], i.UNREACHABLE, after=0.1)
+    assert [a.latest for a in again if isinstance(a, i.Send)] == [0.0]
