--- a/oliveloft/__main__.py
+++ b/oliveloft/__main__.py
@@ -16,7 +16,7 @@
 
 from micagate.control import Gateway
 from oliveloft.config import Config, ConfigError, load
-from oliveloft.discovery import Discovery, News
+from oliveloft.discovery import ASKED, PUSHED, Discovery, News
 from oliveloft.gateway import Bridge
 from oliveloft.server import Client, Server
 from oliveloft.workers import Workers
@@ -65,7 +65,8 @@
         listener = await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
     except OSError as error:
         raise ConfigError(f"listen: {error.strerror or error}") from error
-    discovery = Discovery(loop, config.discovery, offset, tell, held, Random(config.seed))
+    discovery = Discovery(loop, config.discovery, offset, tell, held, Random(config.seed),
+                          ASKED if config.settings.must_subscribe else PUSHED)
     discovery.start()
 
     def reload() -> None:
--- a/oliveloft/discovery.py
+++ b/oliveloft/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 from typing import Any, cast
 
@@ -18,13 +19,32 @@
 log = logging.getLogger("oliveloft")
 
 STATES = {"up": i.HEALTHY, "draining": i.DRAINING, "removed": i.GONE}
-WAIT = 5.0  # seconds that a watch may stay open: a silent agent is noticed soon after
-SILENCE = 1.5  # seconds beyond that, or for an answer that needs no wait, after which the agent is silent
-BACKOFF, LONGEST_BACKOFF = 0.1, 1.0  # seconds between tries to reconnect
-BUSY, LONGEST_BUSY = 0.5, 8.0  # seconds, about, between calls that discovery turns away as too many
+BACKOFF = 0.1  # seconds before the first try to reconnect, doubled with each further one
+# Seconds, about, between calls that discovery turns away as too many. The longest lets two calls fall into
+# the 6 s after which news counts as told, whether or not it came (protocol).
+BUSY, LONGEST_BUSY = 0.5, 3.0
+LOOK = 0.02  # seconds in which a loop that stood still reads what has come meanwhile
 MAX_LIST = 4 * 1024 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How patient a watch is, in seconds."""
+
+    wait: float  # that a watch may stay open: a silent service is noticed soon after
+    silence: float  # beyond that, for an answer that needs no wait or to connect: the service is silent
+    longest: float  # between two tries to reconnect
+    doubt: float  # that a watch may stay open while the service has not answered since it failed
+
+
+# A service of fixed capacity for the whole fleet: calls cost it work, and each gatekeeper asks seldom.
+ASKED = Pace(wait=5.0, silence=1.5, longest=1.0, doubt=5.0)
+# An agent on this machine, to which lists are pushed: its answers cost nothing, and what it has counts as
+# told whether or not anybody asks. So that no failure of a watch, seen or unseen, lasts as long as a drain's
+# grace (1 s), wait + silence + the first pause stay under it, and so do doubt + silence + longest.
+PUSHED = Pace(wait=0.5, silence=0.35, longest=0.2, doubt=0.2)
+
+
 def endpoint(raw: Any, offset: float) -> Endpoint:
     """An entry of the list; `offset` turns Unix time into the loop's. ValueError says what is wrong."""
     if not isinstance(raw, dict):
@@ -103,7 +123,7 @@
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            watch.failed(f"malformed answer: {error}", afresh=True)
+            watch.failed(self, f"malformed answer: {error}", afresh=True)
             return
         if self._whole:
             watch.answered(parser.get_status_code(), b"".join(self._body), not parser.should_keep_alive())
@@ -124,7 +144,7 @@
         watch, self._watch = self._watch, None
         self._transport = self._parser = None  # parser and protocol refer to each other
         if watch is not None:
-            watch.failed(f"connection lost: {exc or 'closed'}")
+            watch.failed(self, f"connection lost: {exc or 'closed'}")
 
     def drop(self) -> None:
         """It is wanted no more: close, and tell nothing of what still comes of it."""
@@ -140,12 +160,16 @@
     only what has changed since is asked for. Guards the service that all gatekeepers share: forty that start
     at once, each with a call for the whole list, keep it busy for many seconds, in which it turns away every
     watch. Harm: an agent that had forgotten what a version meant would leave the list as it is.
+
+    Each failure belongs to the connection that met it; one that comes of a connection which is no longer the
+    watch's is nobody's. Guards the watch that stands against the late end of the one before.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], offset: float,
-                 tell: Callable[[News], None], held: int | None = None, random: Random | None = None) -> None:
+                 tell: Callable[[News], None], held: int | None = None, random: Random | None = None,
+                 pace: Pace = ASKED) -> None:
         self._loop, self._where, self._offset, self._tell = loop, where, offset, tell
-        self._random = random or Random()
+        self._random, self._pace = random or Random(), pace
         self._link: Link | None = None
         self._index = held  # the version of the list that stands; None: the whole list is due
         self._pause, self._busy = BACKOFF, BUSY
@@ -153,9 +177,11 @@
         self._task: asyncio.Task[None] | None = None
         self._failing = False
         self._skipped = ""
+        self.heard = asyncio.Event()  # an answer has come
 
     def start(self) -> None:
-        """Connect."""
+        """Connect, in place of any connection that stands or is on its way."""
+        self.stop()
         self._link = Link(self, self._where)
         self._task = self._loop.create_task(self._connect(self._link))
 
@@ -187,13 +213,15 @@
     async def _connect(self, link: Link) -> None:
         host, port = self._where
         try:
-            async with asyncio.timeout(SILENCE):
+            async with asyncio.timeout(self._pace.silence):
                 await self._loop.create_connection(lambda: link, host, port)
         except (OSError, TimeoutError) as error:
-            self.failed(f"cannot connect: {error or 'timed out'}")
+            self.failed(link, f"cannot connect: {error or 'timed out'}")
 
-    def failed(self, why: str, afresh: bool = False) -> None:
+    def failed(self, link: Link, why: str, afresh: bool = False) -> None:
         """Try again later, `afresh` with the whole list; the old list stands."""
+        if link is not self._link:
+            return
         self._drop()
         if afresh:
             self._index = None
@@ -201,7 +229,7 @@
             log.warning("discovery: %s; keeping the list and trying again", why)
         self._failing = True
         self._after(self._pause, self.start)
-        self._pause = min(LONGEST_BACKOFF, 2 * self._pause)
+        self._pause = min(self._pace.longest, 2 * self._pause)
 
     def _turned_away(self) -> None:
         """Discovery is overbooked: ask again later, at a time of this gatekeeper's own (jitter).
@@ -224,12 +252,15 @@
 
     def ask(self) -> None:
         """Ask for the whole list, or for what comes after it."""
-        path, silence = "/v1/servers", SILENCE
+        link = cast(Link, self._link)
+        path, silence = "/v1/servers", self._pace.silence
         if self._index is not None:
-            path, silence = f"{path}?index={self._index}&wait={int(WAIT * 1000)}", WAIT + SILENCE
-        cast(Link, self._link).ask(path)
+            wait = self._pace.doubt if self._failing else self._pace.wait
+            path, silence = f"{path}?index={self._index}&wait={int(wait * 1000)}", wait + silence
+        link.ask(path)
         # Guards against an agent that has gone silent, which no close tells of: an open wait ends in time.
-        self._after(silence, lambda: self.failed("silent"))
+        # What came while this process itself stood still is read first.
+        self._after(silence, lambda: self._after(LOOK, lambda: self.failed(link, "silent")))
 
     def answered(self, status: int, body: bytes, ended: bool) -> None:
         """Pass on what an answer says, and ask for what comes next, unless its connection ends with it."""
@@ -241,10 +272,10 @@
                 raise ValueError(f"status {status}")
             news = News(json.loads(body), self._offset)
         except (ValueError, RecursionError) as error:
-            self.failed(f"malformed answer: {error}", afresh=True)
+            self.failed(cast(Link, self._link), f"malformed answer: {error}", afresh=True)
             return
         if self._index is None and not news.whole:
-            self.failed("no whole list", afresh=True)
+            self.failed(cast(Link, self._link), "no whole list", afresh=True)
             return
         if self._failing:
             log.info("discovery: back")
@@ -254,9 +285,8 @@
             log.warning("discovery: skipped a malformed entry: %s", news.skipped)
         self._skipped = news.skipped
         if ended:
-            link, self._link = self._link, None
-            cast(Link, link).drop()
             self.start()  # announced with the answer, so no failure
         else:
             self.ask()  # first: the next watch must begin soon after the last answer
+        self.heard.set()
         self._tell(news)
