--- a/oliveloft/workers.py
+++ b/oliveloft/workers.py
@@ -23,6 +23,9 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 MOST_INTERIM = 8  # 1xx answers ahead of the one that counts
+# Seconds that a connection rests after an answer before it carries the next request: a worker that answers
+# twice does so within some milliseconds (days of service), and the second answer must meet nobody's request.
+SETTLED = 0.02
 IDLE_SHARE = 0.6  # of the worker's idle time-out: later, a request could cross the worker's closing
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -367,14 +370,23 @@
         return len(self._processes)
 
     def send(self, attempt: Attempt) -> None:
-        """Start an attempt: over the connection used last, or a new one."""
+        """Start an attempt: over the connection used last of those that have settled, or a new one.
+
+        Guards against a second answer to one request, which would be served as the answer to the next; one
+        that meets a resting connection ends it. Harm: where answers take no longer than the rest, a few more
+        connections are held.
+        """
         process = self._processes.get(attempt.worker)
         now = self.loop.time()
         if process is None or (process.told is not None and now - process.told >= self._grace):
             attempt.finish(i.VOID)
             return
-        while process.idle:
-            connection = process.idle.pop()
+        settled = len(process.idle)
+        while settled and now - process.idle[settled - 1].idle_since < SETTLED:
+            settled -= 1
+        while settled:
+            settled -= 1
+            connection = process.idle.pop(settled)
             transport = connection.transport
             if transport is None or transport.is_closing():
                 continue
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -20,6 +20,8 @@
 from pathlib import Path
 from typing import Any
 
+from oliveloft.workers import SETTLED
+
 LIMIT = 20.0
 FILES = tempfile.TemporaryDirectory()  # configurations, removed at the end of the tests
 FACTS: dict[str, Any] = {
@@ -42,6 +44,11 @@
     asyncio.run(asyncio.wait_for(scenario, LIMIT))
 
 
+async def settled() -> None:
+    """Let connections to workers rest for long enough to be used again."""
+    await asyncio.sleep(2 * SETTLED)
+
+
 async def until(true: Callable[[], object]) -> None:
     """Wait for something that no event tells of."""
     while not true():
