--- a/oliveloft/server.py
+++ b/oliveloft/server.py
@@ -12,6 +12,7 @@
 
 from micagate import interface as i
 from oliveloft.gateway import Bridge, Request
+from oliveloft.peek import gone
 from oliveloft.workers import HOP_BY_HOP, MAX_BODY, MAX_HEAD
 
 log = logging.getLogger("oliveloft")
@@ -24,6 +25,7 @@
 MISTAKES = 3  # requests turned down on one connection, after which it is closed
 PIPELINE = 16  # requests held of one connection before it is read no further, or bytes of their bodies
 PIPELINE_BYTES = MAX_BODY
+LOOK = 0.1  # seconds between looks at whether clients that are read no further are still there
 SPARE = 24  # connections beyond the bound that still hear a refusal
 MOST_WEIGHTS = 256  # forms of X-Weight kept as read
 LONGEST = 86400.0  # seconds: a longer X-Timeout is absurd
@@ -70,8 +72,8 @@
     """One client connection: requests are served one after another, replies go out in their order."""
 
     __slots__ = ("_server", "_transport", "_parser", "_incoming", "_headed", "_queue", "_current", "_keep",
-                 "_waiting", "_busy", "_paused", "_stopped", "_ended", "_mistakes", "_unread", "lingering",
-                 "since", "overflow", "good")
+                 "_waiting", "_busy", "_paused", "_stopped", "_ended", "_mistakes", "_unread", "_held",
+                 "lingering", "since", "overflow", "good")
 
     def __init__(self, server: Server) -> None:
         self._server = server
@@ -85,6 +87,7 @@
         self._busy = False  # a request is being answered
         self._keep = True
         self._paused = False  # the client does not read its replies
+        self._held = False  # it is read no further until what it has asked is answered
         self._stopped = False  # nothing further is read of it
         self._ended = False  # the last reply is out
         self.lingering = False
@@ -217,6 +220,8 @@
             self._waiting += 1 + incoming.size
         if (len(self._queue) >= PIPELINE or self._waiting >= PIPELINE_BYTES) and self._transport is not None:
             self._transport.pause_reading()  # guards the memory: what waits here is bounded
+            self._held = True
+            self._server.hold(self)
 
     # Serving.
 
@@ -233,8 +238,10 @@
         """Begin the next request, if none is on its way."""
         while self._queue and not (self._busy or self._paused or self._ended) and self._transport is not None:
             incoming = self._queue.popleft()
+            if self._held and self.look():
+                return
             if not self._queue and self._waiting:
-                self._waiting = 0
+                self._waiting, self._held = 0, False
                 self._transport.resume_reading()
             self._busy = True
             self._keep = incoming.keep and not self.overflow
@@ -310,6 +317,21 @@
         else:
             transport.close()
 
+    @property
+    def held(self) -> bool:
+        """Whether it is read no further for now, so that no event tells of its end."""
+        return self._held and self._transport is not None
+
+    def look(self) -> bool:
+        """Whether its client has left, though it is not read; then it is over.
+
+        Guards workers against what is asked for by nobody any more.
+        """
+        if not gone(self._transport):
+            return False
+        self.abort()
+        return True
+
     def idle(self) -> bool:
         """Whether nothing of a request is on its way, and nothing has begun to close it."""
         if self._transport is None or self._transport.is_closing():
@@ -357,6 +379,7 @@
         self._usual: dict[Client, None] = {}  # those that have, the one whose last reply is oldest first
         self._plans = {p.name.encode() for p in settings.plans}
         self._able = self._retired = False
+        self._held: set[Client] = set()  # those that are read no further
         self._weights: dict[bytes, tuple[float, int]] = {}
 
     def able(self) -> None:
@@ -411,6 +434,17 @@
         """The usual client that has been idle the longest."""
         return next((client for client in self._usual if client.idle()), None)
 
+    def hold(self, client: Client) -> None:
+        """A client is read no further: whether it has left must be looked for."""
+        if not self._held:
+            self.loop.call_later(LOOK, self._look)
+        self._held.add(client)
+
+    def _look(self) -> None:
+        self._held = {client for client in self._held if client.held and not client.look()}
+        if self._held:
+            self.loop.call_later(LOOK, self._look)
+
     def left(self, client: Client) -> None:
         """A connection is gone."""
         self._clients.pop(client, None)
