--- a/oliveloft/__main__.py
+++ b/oliveloft/__main__.py
@@ -24,6 +24,10 @@
 log = logging.getLogger("oliveloft")
 
 STILL_COMING = 0.5  # seconds after SIGTERM in which connections are still taken (the front needs up to 0.4)
+ACCEPTED = 0.02  # seconds more, in which a loop that stood still accepts what has come by then
+# Seconds from SIGTERM to SIGKILL beyond the longest deadline, which counts as 3 s at least (protocol), and
+# how long before that the process ends by itself.
+KILLED_AFTER, LEAST_DEADLINE, AHEAD = 0.7, 3.0, 0.1
 SWEEP = 0.25  # seconds between looks at idle connections, or this share of the workers' idle time-out
 SWEEP_SHARE = 0.1
 RESERVE = 48  # descriptors for all but clients and workers, and for connections on their way out
@@ -93,12 +97,18 @@
     pause = max(0.02, min(SWEEP, SWEEP_SHARE * config.idle_close))
     loop.call_later(pause, sweep)
     await stop.wait()
+    killed = loop.time() + max(LEAST_DEADLINE, *(c.deadline for c in config.settings.classes)) + KILLED_AFTER
     log.info("stopping")
     server.retire()
     await asyncio.sleep(STILL_COMING)
+    server.closing = True
+    await asyncio.sleep(ACCEPTED)  # timers come before sockets: without it the backlog would be reset
     listener.close()
-    await server.finish(max(c.deadline for c in config.settings.classes) + 0.2)
+    await asyncio.sleep(0)  # the last ones accepted join
+    await server.finish(killed - AHEAD - loop.time())
     discovery.stop()
+    # Guards the exit against a signal that comes late: the loop puts back what it would do by default.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
     return 0
 
 
--- a/oliveloft/server.py
+++ b/oliveloft/server.py
@@ -6,13 +6,14 @@
 import logging
 import re
 from collections import deque
+from itertools import islice
 from typing import cast
 
 import httptools
 
 from micagate import interface as i
 from oliveloft.gateway import Bridge, Request
-from oliveloft.peek import gone
+from oliveloft.peek import gone, unread
 from oliveloft.workers import HOP_BY_HOP, MAX_BODY, MAX_HEAD
 
 log = logging.getLogger("oliveloft")
@@ -26,6 +27,7 @@
 PIPELINE = 16  # requests held of one connection before it is read no further, or bytes of their bodies
 PIPELINE_BYTES = MAX_BODY
 LOOK = 0.1  # seconds between looks at whether clients that are read no further are still there
+LOOKED_AT = 8  # of the oldest connections that have sent nothing, when one of them has to make room
 SPARE = 24  # connections beyond the bound that still hear a refusal
 MOST_WEIGHTS = 256  # forms of X-Weight kept as read
 LONGEST = 86400.0  # seconds: a longer X-Timeout is absurd
@@ -299,7 +301,8 @@
         transport = self._transport
         if transport is None:
             return
-        keep = self._keep and not self._server.closing
+        # What a client has sent ahead has been taken, so it is answered in a drain too.
+        keep = self._keep and (not self._server.closing or bool(self._queue))
         self.since = self._server.loop.time()
         if self.good:
             self._server.rested(self)
@@ -332,6 +335,14 @@
         self.abort()
         return True
 
+    def spare(self) -> bool:
+        """Whether it may be closed: idle, and no request of it waits to be read."""
+        return self.idle() and not unread(self._transport)
+
+    def fresh(self) -> bool:
+        """Whether nothing at all has come of it, read or not."""
+        return not unread(self._transport)
+
     def idle(self) -> bool:
         """Whether nothing of a request is on its way, and nothing has begun to close it."""
         if self._transport is None or self._transport.is_closing():
@@ -357,7 +368,7 @@
             if waited > SLOW:
                 self.abort()  # guards memory and descriptors against a client that does not read
         elif self.idle():
-            if waited > (IDLE if self.good else SILENT):
+            if waited > (IDLE if self.good else SILENT) and self.spare():
                 self._transport.close()
         elif not self._busy and self._incoming is not None and waited > SLOW:
             self._turn_down(408, "too slow")
@@ -401,7 +412,8 @@
         then the one that has been idle the longest.
         """
         if len(self._clients) >= self._limit:
-            other = next(iter(self._fresh), None)
+            fresh = islice(self._fresh, LOOKED_AT)
+            other = next(filter(Client.fresh, fresh), None) or next(iter(self._fresh), None)
             if other is None:
                 other = self._resting()
             if other is not None:
@@ -432,7 +444,7 @@
 
     def _resting(self) -> Client | None:
         """The usual client that has been idle the longest."""
-        return next((client for client in self._usual if client.idle()), None)
+        return next((client for client in self._usual if client.spare()), None)
 
     def hold(self, client: Client) -> None:
         """A client is read no further: whether it has left must be looked for."""
@@ -460,10 +472,10 @@
             client.sweep(now)
 
     async def finish(self, patience: float) -> None:
-        """Answer what is held, each reply with `Connection: close`, and wait until all clients have gone."""
+        """Answer what is held, each last reply with `Connection: close`; wait until all clients have gone."""
         self.closing = True
         for client in list(self._clients):
-            if client.idle():
+            if client.spare():
                 client.close()
         if self._clients:
             try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,13 +1,18 @@
-"""Events that cross, forced on real sockets: a departure, a close or a signal meets a request on its way."""
+"""Events that cross, forced on real sockets: a departure, a close or a signal meets a request on its way.
+
+Where this process must not read what has come yet, it is stopped (SIGSTOP) until the other event is due.
+"""
 
 import asyncio
+import signal
 import socket
 import struct
 
 import pytest
 from stand import Client, Worker, answer, run, scene, until
 
-from oliveloft.server import PIPELINE
+from oliveloft.__main__ import STILL_COMING
+from oliveloft.server import IDLE, PIPELINE
 
 
 def gated():
@@ -81,3 +86,75 @@
             assert await client.ended()  # with no answer at the deadline
             assert len(worker.seen) == 1
     run(scenario())
+
+
+def test_an_idle_connection_is_not_closed_over_a_request_that_has_come():
+    async def scenario():
+        worker = Worker("w")
+        async with scene(worker) as (gatekeeper, _, client):
+            assert (await client.ask("write")).status == 200
+            gatekeeper.process.send_signal(signal.SIGSTOP)
+            client.send(Client.request("write"))
+            await asyncio.sleep(IDLE + 0.3)  # its idle time is over when it runs again
+            gatekeeper.process.send_signal(signal.SIGCONT)
+            reply = await client.receive()
+            assert reply is not None and reply.status == 200
+    run(scenario())
+
+
+def test_a_drain_answers_what_came_at_the_moment_of_its_closes():
+    async def scenario():
+        worker = Worker("w")
+        async with scene(worker, ends=True) as (gatekeeper, _, client):
+            assert (await client.ask("write")).status == 200
+            gatekeeper.process.send_signal(signal.SIGTERM)
+            await gatekeeper.logged("stopping")
+            gatekeeper.process.send_signal(signal.SIGSTOP)
+            client.send(Client.request("write"))  # on an idle connection
+            fresh = await gatekeeper.client()  # and on one that is in the backlog
+            fresh.send(Client.request("write"))
+            await asyncio.sleep(STILL_COMING + 0.1)  # the listener is due to close
+            gatekeeper.process.send_signal(signal.SIGCONT)
+            for one in (client, fresh):
+                reply = await one.receive()
+                assert reply is not None and reply.status == 200 and reply.headers["connection"] == "close"
+            assert await gatekeeper.process.wait() == 0
+    run(scenario())
+
+
+def test_a_drain_answers_all_that_a_client_sent_ahead():
+    async def scenario():
+        go, script = gated()
+        worker = Worker("w", script)
+        async with scene(worker, ends=True) as (gatekeeper, _, client):
+            client.send(b"".join(Client.request("write", id=f"p{n}", timeout="3.9") for n in range(3)))
+            await until(lambda: worker.seen)
+            other = await gatekeeper.client()
+            gatekeeper.process.send_signal(signal.SIGTERM)
+            assert await other.ended()  # idle, and closed: from here on each last reply closes its own
+            go.set()
+            replies = [await client.receive() for _ in range(3)]
+            assert [reply.body for reply in replies] == [b"p0", b"p1", b"p2"]
+            assert [reply.headers.get("connection") for reply in replies] == [None, None, "close"]
+            assert await client.ended() and await gatekeeper.process.wait() == 0
+    run(scenario())
+
+
+def test_further_signals_during_a_drain_change_nothing():
+    async def scenario():
+        go, script = gated()
+        worker = Worker("w", script)
+        async with scene(worker, ends=True) as (gatekeeper, discovery, client):
+            client.send(Client.request("write", timeout="3.0"))
+            await until(lambda: worker.seen)
+            gatekeeper.process.send_signal(signal.SIGTERM)
+            await gatekeeper.logged("stopping")
+            await gatekeeper.reload(gatekeeper.file.read_text(), "reloaded")
+            gatekeeper.process.send_signal(signal.SIGTERM)
+            gatekeeper.process.send_signal(signal.SIGINT)
+            assert await (await gatekeeper.client()).ended()  # idle, and closed: the drain has gone on
+            go.set()
+            reply = await client.receive()
+            assert reply is not None and reply.status == 200
+            assert await gatekeeper.process.wait() == 0
+    run(scenario())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -207,6 +207,7 @@
                 for _ in range(300):
                     assert (await client.ask("write", body=b"x" * 20_000)).status == 200
                     times.append(loop.time())
+                    await asyncio.sleep(0.002)  # or it would need more connections than it may hold
                 with open(f"/proc/{gatekeeper.process.pid}/statm") as file:
                     sizes.append(int(file.read().split()[1]) * 4096)
             assert sizes[2] - sizes[1] < 3_000_000 and sizes[2] < 100_000_000
