--- a/oliveloft/__main__.py
+++ b/oliveloft/__main__.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import time
+from contextlib import suppress
 from random import Random
 
 import uvloop
@@ -23,6 +24,7 @@
 
 log = logging.getLogger("oliveloft")
 
+FIRST_LIST = 0.5  # seconds at the start in which discovery's first answer is waited for
 STILL_COMING = 0.5  # seconds after SIGTERM in which connections are still taken (the front needs up to 0.4)
 ACCEPTED = 0.02  # seconds more, in which a loop that stood still accepts what has come by then
 # Seconds from SIGTERM to SIGKILL beyond the longest deadline, which counts as 3 s at least (protocol), and
@@ -65,10 +67,6 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    try:
-        listener = await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
-    except OSError as error:
-        raise ConfigError(f"listen: {error.strerror or error}") from error
     discovery = Discovery(loop, config.discovery, offset, tell, held, Random(config.seed),
                           ASKED if config.settings.must_subscribe else PUSHED)
     discovery.start()
@@ -87,6 +85,14 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     gc.collect()
     gc.freeze()
+    # The list that was known may be old, and what discovery has counts as told from the first moment: so it
+    # is heard first, unless it is silent. Nothing slow comes after: requests would wait in the backlog.
+    with suppress(TimeoutError):
+        await asyncio.wait_for(discovery.heard.wait(), FIRST_LIST)
+    try:
+        listener = await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
+    except OSError as error:
+        raise ConfigError(f"listen: {error.strerror or error}") from error
     log.info("%s listens at %s:%d", config.name, *listener.sockets[0].getsockname()[:2])
 
     def sweep() -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,10 +5,28 @@
 import os
 import resource
 import signal
+import tempfile
+from pathlib import Path
 
 import pytest
-from stand import Client, Discovery, Worker, answer, config, hang, launch, run, scene, settled, until
+from stand import (
+    FILES,
+    Client,
+    Discovery,
+    Worker,
+    answer,
+    config,
+    hang,
+    launch,
+    run,
+    scene,
+    settled,
+    until,
+)
 
+from oliveloft.__main__ import serve
+from oliveloft.config import load
+from oliveloft.gateway import Bridge
 from oliveloft.workers import SETTLED
 
 
@@ -58,6 +76,30 @@
     run(scenario())
 
 
+def test_it_listens_only_once_it_has_heard_what_discovery_has(monkeypatch):
+    order = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        worker = await Worker("w").start()
+        agent = await Discovery([worker.entry(status="draining")]).start()
+        agent.index = 2
+        news, listen = Bridge.news, loop.create_server
+        monkeypatch.setattr(Bridge, "news", lambda self, told: (order.append(told.index), news(self, told)))
+        monkeypatch.setattr(loop, "create_server", lambda *args, **how: (
+            order.append("listen"), listen(*args, **how))[1])
+        agent.change(worker.entry(status="draining"))  # since the version 1 that it is told to know
+        file = Path(tempfile.mkstemp(suffix=".json", dir=FILES.name)[1])
+        file.write_text(json.dumps(config(agent.port, known=[worker.entry()])))
+        serving = asyncio.create_task(serve(load({"PROXY_CONFIG": str(file)})))
+        await until(lambda: "listen" in order)
+        serving.cancel()
+        agent.stop()
+        worker.stop()
+    run(scenario())
+    assert order[:order.index("listen")] == [1, 3]
+
+
 def test_healthz_says_200_only_once_there_are_workers():
     async def scenario():
         worker = Worker("w")
