--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -140,19 +140,27 @@
 
 
 def test_gateways_take_turns_at_a_cold_worker_where_one_each_would_be_too_much():
-    sent = []
-    for seed in range(11):
-        d = Driver(0, gateways=11)
-        d.gateway.fleet._random.seed(seed)
-        d.give(workers(1, started=0.0))
-        for _ in range(60):
-            name, actions = d.ask(after=0.1)
-            if sends(actions):
-                sent.append(d.now)
-                d.answer(name, "w0", after=0.001)
+    def sent(fleet):
+        went = []
+        for gateway in range(11):
+            d = Driver(0, gateways=11)
+            d.gateway.fleet._random.seed(11 * fleet + gateway)
+            d.give(workers(1, started=0.0))
+            for _ in range(60):
+                name, actions = d.ask(after=0.1)
+                if sends(actions):
+                    went.append(d.now)
+                    d.answer(name, "w0", after=0.001)
+        return [sum(start <= at < start + 1 for at in went) for start in range(6)]
+
+    fleets = [sent(fleet) for fleet in range(60)]
     for start in range(6):  # answers take 0.1 s: a core does ten a second when warm, a fifth of that at first
-        could = 10 * (0.2 + 0.08 * (start + 1))
-        assert 0 < sum(start <= at < start + 1 for at in sent) <= 2 * could
+        most = 2 * 10 * (0.2 + 0.08 * (start + 1))  # twice its capacity is what the settings allow
+        counts = [windows[start] for windows in fleets]
+        # On average it is sent well under that, seldom more by chance, and never so much that it falls.
+        assert 0 < sum(counts) / len(counts) <= 0.75 * most
+        assert sum(count > most for count in counts) <= 0.1 * len(counts)
+        assert max(counts) <= most + 3 * most ** 0.5 + 3
 
 
 def test_a_cold_worker_is_shared_by_those_that_keep_to_it_alone():
