--- a/oliveloft/workers.py
+++ b/oliveloft/workers.py
@@ -16,6 +16,7 @@
 import httptools
 
 from micagate import interface as i
+from oliveloft.peek import unread
 from oliveloft.rest import Rest
 
 log = logging.getLogger("oliveloft")
@@ -391,8 +392,9 @@
             if transport is None or transport.is_closing():
                 continue
             age = now - connection.idle_since
-            if age >= self.rest.limit:
-                connection.close()  # and so are those below it, which have stood for longer
+            # Guards what is unsafe to repeat against a close or stray bytes that have come but are not read.
+            if age >= self.rest.limit or unread(transport):
+                connection.close()  # where it has stood too long, so have those below it
                 continue
             connection.send(attempt, age)
             return
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,7 +1,9 @@
 """Worker connections: what is used again, what is not, and what drains do to them."""
 
 import asyncio
+import socket
 
+import pytest
 from stand import Client, Worker, answer, reset, run, scene, settled, until
 from test_bridge import Case
 
@@ -141,6 +143,52 @@
     run(scenario())
 
 
+class Peer:
+    """A worker on a plain socket, all of whose doings come between two turns of the loop."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.sock, self.seen = None, 0
+
+    async def serve(self, case: Case, replies: int) -> None:
+        """Take one request and answer it."""
+        loop = asyncio.get_running_loop()
+        self.listener.setblocking(False)
+        if self.sock is None:
+            self.sock, _ = await loop.sock_accept(self.listener)
+        await loop.sock_recv(self.sock, 65536)
+        self.seen += 1
+        await loop.sock_sendall(self.sock, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        await until(lambda: len(case.replies) == replies)
+
+
+@pytest.mark.parametrize("cross", ["close", "stray"])
+def test_a_close_that_has_come_but_is_not_read_crosses_no_request(cross):
+    async def scenario():
+        case, peer = Case(lambda e: [i.Send(e.request, "w")] if isinstance(e, i.Request) else []), Peer()
+        clock = case.workers.loop = Clock(case.loop)
+        worker = Worker("w")
+        worker.port = peer.port
+        case.know(worker)
+        case.submit("r1")
+        await peer.serve(case, 1)
+        clock.now += 1.0
+        first, peer.sock = peer.sock, None
+        if cross == "close":
+            first.close()
+        else:
+            first.send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+        case.submit("r2")  # in the same turn of the loop: nothing has been read
+        await peer.serve(case, 2)
+        assert case.replies == [200, 200] and peer.seen == 2
+        assert [status for _, status, _ in case.module.outcomes()] == [i.SUCCESS, i.SUCCESS]
+        first.close()
+        peer.sock.close()
+        peer.listener.close()
+    run(scenario())
+
+
 def test_idle_connections_are_closed_before_the_worker_would():
     async def scenario():
         worker = Worker("w")
