--- a/micagate/control.py
+++ b/micagate/control.py
@@ -34,7 +34,9 @@
 AIMED = 0.9  # of the quota: what the slices steer the metered use to (ours)
 UNSEEN = 0.5  # use taken for granted before the first reading: most customers are calm (ours)
 NEWBORN = 0.75  # of the ceiling's slack: what all gateways may take ahead of it after a start (ours)
-UNSEEN_THIN = 0.7  # the same where the credits of all its gateways together are more than its burst (ours)
+UNSEEN_THIN = 1.0  # the same where the credits of all its gateways together are more than its burst (ours)
+BLIND = 0.6  # least chance that such a customer's try is let in while no reading tells of it (ours)
+SOON = 0.1  # of the time between its tries here at full use: one that comes so soon is one of a flood (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
 
 # Fleet and attempts: ours, since the design leaves them open.
@@ -164,7 +166,7 @@
     """One customer as this gateway knows it."""
 
     __slots__ = ("plan", "spread", "depth", "floor", "slice", "store", "ceiling", "at", "tick", "asked",
-                 "forecast", "longer", "top", "use", "read", "readings", "fresh", "out")
+                 "forecast", "longer", "top", "use", "read", "readings", "fresh", "out", "thin", "tried")
 
     def __init__(self, plan: i.Plan, spread: int, now: float, born: float) -> None:
         self.plan, self.spread = plan, spread
@@ -178,9 +180,9 @@
         self.asked = self.forecast = self.longer = self.top = 0.0
         # What is harmless from a few gateways is not from forty: each takes a customer it knows nothing of as
         # calm and grants it credit, and a flood takes all of these before the first reading tells of it.
-        thin = LEAST * spread > plan.burst
-        self.use, self.read, self.readings, self.fresh = UNSEEN_THIN if thin else UNSEEN, now, 0, False
-        self.out = 0
+        self.thin = LEAST * spread > plan.burst
+        self.use, self.read, self.readings, self.fresh = UNSEEN_THIN if self.thin else UNSEEN, now, 0, False
+        self.out, self.tried = 0, -math.inf
 
     def metered(self, now: float, used: float, period: float) -> None:
         """A reading of the meter, averaged with those before where the meter's period is short.
@@ -201,8 +203,8 @@
 class Quotas:
     """Stores, metered slices, ceilings and at-once caps of the customers."""
 
-    def __init__(self, now: float) -> None:
-        self._born = now
+    def __init__(self, now: float, random: Random) -> None:
+        self._born, self._random = now, random
         self._accounts: OrderedDict[tuple[str, str], Account] = OrderedDict()
 
     def account(self, now: float, customer: str, plan: i.Plan, spread: int) -> Account:
@@ -257,7 +259,24 @@
         # a burst of one that the meter showed as calm goes over until the next readings.
         a.top = max(a.top, units)
         credit = 0.0 if pressed else a.room() * max(0.0, LEAST * a.top - a.depth)
-        return not a.plan.rate or a.store + credit >= min(units, a.depth + credit)
+        doubtful, a.tried = self._doubtful(a, units), a.at
+        return not a.plan.rate or (not doubtful and a.store + credit >= min(units, a.depth + credit))
+
+    def _doubtful(self, a: Account, units: float) -> bool:
+        """Whether a try is taken for one beyond the quota, though this gateway's part may have room.
+
+        Where a customer comes through so many gateways that each part holds less than a request, every first
+        try finds its part full, and those of a customer far beyond its quota are as many as there are
+        gateways, before any reading tells of it. So a part of them is refused, and so is a try that comes
+        much sooner after the last one than a full use of the quota would bring it here, unless readings show
+        half of the quota free. Guards the workers, and the customer's bill, where what goes beyond costs more
+        than it earns. Harm: calm customers' first tries are refused too; theirs mostly come again.
+        """
+        if not a.thin or a.plan.excess_cost <= a.plan.beyond_earns:
+            return False
+        if not a.readings:
+            return self._random.random() >= BLIND + a.plan.burst / (LEAST * a.spread)
+        return a.room() < 1 and (a.at - a.tried) * a.plan.rate < SOON * a.spread * units
 
     def allowed(self, a: Account, units: float, beyond: bool) -> bool:
         """Whether the ceiling has room; what goes beyond the quota leaves half of it to what is inside."""
@@ -685,7 +704,7 @@
         self._plans = {p.name: p for p in settings.plans}
         self._random = Random(seed)
         self.throttle = Throttle(now, len(settings.plans))
-        self.quotas = Quotas(now)
+        self.quotas = Quotas(now, self._random)
         self.fleet = Fleet(settings, self._random, now)
         self._pending: dict[str, Pending] = {}
         self._out: dict[tuple[str, int], Attempt] = {}
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,6 +1,7 @@
 """The process: its configuration, signals and limits."""
 
 import asyncio
+import gc
 import json
 import os
 import resource
@@ -94,6 +95,7 @@
         serving = asyncio.create_task(serve(load({"PROXY_CONFIG": str(file)})))
         await until(lambda: "listen" in order)
         serving.cancel()
+        gc.unfreeze()  # what it set aside is this process's, too
         agent.stop()
         worker.stop()
     run(scenario())
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -1,11 +1,19 @@
 """Slices, stores, ceilings and at-once caps."""
 
+from random import Random
+
 from drive import Driver, sends
 
 from micagate import interface as i
-from micagate.control import IDLE, Quotas
+from micagate.control import BLIND, IDLE, Quotas
 
 PLAN = i.Plan("metered", rate=3.0, burst=12.0)
+DEAR = i.Plan("dear", rate=3.0, burst=12.0, excess_cost=1.0)  # what goes beyond it costs more than it earns
+
+
+def quotas_of(now: float = 0.0, seed: int = 7) -> Quotas:
+    """A gateway's quotas."""
+    return Quotas(now, Random(seed))
 
 
 def asked(quotas: Quotas, now: float, units: float, used: float | None = None, plan: i.Plan = PLAN):
@@ -17,12 +25,12 @@
 
 
 def test_an_unseen_customer_starts_at_the_floor_with_its_part_of_the_store():
-    a = asked(Quotas(0.0), 5.0, 0)
+    a = asked(quotas_of(), 5.0, 0)
     assert (a.slice, a.store) == (1.0, 4.0)
 
 
 def test_the_slice_follows_the_meter_between_floor_and_forecast():
-    quotas = Quotas(0.0)
+    quotas = quotas_of()
     for second in range(8):
         a = asked(quotas, float(second), 1.0, used=0.5)
     assert a.slice > 1.5  # little used elsewhere: more for here
@@ -37,7 +45,7 @@
 
 
 def test_without_readings_the_last_slice_stands():
-    quotas = Quotas(0.0)
+    quotas = quotas_of()
     for second in range(8):
         a = asked(quotas, float(second), 1.0, used=0.5)
     standing = asked(quotas, 8.0, 1.0).slice
@@ -47,14 +55,14 @@
 
 
 def test_a_customer_that_moved_away_falls_back_to_the_floor():
-    quotas = Quotas(0.0)
+    quotas = quotas_of()
     for second in range(8):
         a = asked(quotas, float(second), 1.0, used=0.5)
     assert asked(quotas, 20.0, 0).slice == a.floor
 
 
 def test_idle_customers_age_out_but_not_before_their_ceiling_is_full():
-    quotas = Quotas(0.0)
+    quotas = quotas_of()
     capped = i.Plan("capped", rate=1.0, burst=3.0, ceiling_rate=0.03, ceiling_depth=3.0)
     a = quotas.account(0.0, "slow", capped, 3)
     for n in range(1000):
@@ -107,7 +115,7 @@
 def test_naming_a_customer_wrongly_fills_no_store_again():
     other = i.Plan("other", rate=9.0, burst=90.0)
     capped = i.Plan("capped", rate=3.0, burst=6.0, ceiling_rate=6.0, ceiling_depth=24.0)
-    quotas = Quotas(-60.0)
+    quotas = quotas_of(-60.0)
     a = quotas.account(0.0, "c", capped, 2)
     quotas.take(a, 3.0, True)
     assert (a.store, a.ceiling) == (0.0, 9.0)
@@ -133,7 +141,7 @@
 
 
 def test_coarse_readings_of_a_short_meter_are_averaged():
-    quotas = Quotas(0.0)
+    quotas = quotas_of()
     a = quotas.account(0.0, "c", PLAN, 3)
     for n in range(40):  # a unit in every fourth half second: half the rate
         a.metered(n * 0.5, 0.0 if (n + 2) % 4 else 2.0, 0.5)
@@ -143,7 +151,7 @@
 
 
 def test_slices_steer_to_a_little_under_the_quota():
-    quotas = Quotas(0.0)
+    quotas = quotas_of()
     a = asked(quotas, 0.0, 3.0)
     for second in range(1, 40):
         used = (a.slice + 1.0) / PLAN.rate  # one unit a second goes through the other gateways
@@ -152,7 +160,7 @@
 
 
 def test_a_calm_customer_with_a_thin_part_is_not_starved_unless_the_meter_shows_no_room():
-    a = (quotas := Quotas(0.0)).account(0.0, "c", PLAN, 300)  # a part of 0.04 units
+    a = (quotas := quotas_of()).account(0.0, "c", PLAN, 300)  # a part of 0.04 units
     assert quotas.inside(a, 1.0, False)
     quotas.take(a, 1.0, True)
     assert not quotas.inside(a, 1.0, False)  # nothing known yet: one each, as 299 others grant one too
@@ -167,7 +175,7 @@
 
 
 def test_a_flood_through_many_gateways_takes_little_at_each_of_them():
-    quotas, went = Quotas(0.0), 0
+    quotas, went = quotas_of(), 0
     for n in range(200):  # ten a second for twenty seconds, the meter at many times the quota
         a = quotas.account(n / 10, "c", PLAN, 300)
         a.asked += 1
@@ -179,7 +187,7 @@
 
 
 def test_the_longer_forecast_outlasts_the_time_between_rare_requests():
-    quotas = Quotas(0.0)
+    quotas = quotas_of()
     for n in range(12):  # one request in ten seconds, well inside
         a = asked(quotas, 10.0 * n, 1.0, used=0.2)
     a = quotas.account(118.0, "c", PLAN, 300)
@@ -190,7 +198,7 @@
     """Units that all gateways of a set let through of a flood, before the meter has told of anything."""
     went = 0.0
     for _ in range(spread):
-        quotas = Quotas(0.0)
+        quotas = quotas_of()
         for _ in range(20):
             a = quotas.account(0.0, "c", PLAN, spread)
             if quotas.inside(a, 1.0, False):
@@ -202,3 +210,61 @@
 def test_gateways_that_know_nothing_yet_grant_less_the_more_of_them_there_are():
     assert first_flood(3) == 12.0  # three hold the burst
     assert first_flood(30) <= 1.5 * 30  # thirty grant each its part and hardly one request more
+
+
+def test_first_tries_through_many_gateways_are_let_in_in_part_where_beyond_costs_more_than_it_earns():
+    def share(plan, spread):
+        went = 0
+        for seed in range(400):
+            quotas = quotas_of(seed=seed)
+            went += quotas.inside(quotas.account(0.0, "c", plan, spread), 1.0, False)
+        return went / 400
+
+    assert share(PLAN, 300) == share(DEAR, 3) == 1.0
+    part = BLIND + 12.0 / (2 * 300)
+    assert abs(share(DEAR, 300) - part) < 4 * (part * (1 - part) / 400) ** 0.5
+    assert abs(share(DEAR, 20) - (BLIND + 12.0 / (2 * 20))) < 4 * (0.1 * 0.9 / 400) ** 0.5
+
+
+def test_a_try_that_comes_much_sooner_than_full_use_would_bring_it_is_one_of_a_flood():
+    def second(after, used, plan=DEAR):
+        quotas = next(q for q in map(lambda n: quotas_of(seed=n), range(99))
+                      if q.inside(q.account(0.0, "c", plan, 30), 1.0, False))  # the first one is let in
+        a = quotas.account(0.0, "c", plan, 30)
+        for n in range(20):
+            a.metered(n / 100, used, 2.0)
+        a.store = a.depth  # as if its part had filled again
+        return quotas.inside(quotas.account(after, "c", plan, 30), 1.0, False)
+
+    # At full use a request of one unit comes here every ten seconds.
+    assert not second(0.5, used=0.8) and second(2.0, used=0.8)
+    assert second(0.5, used=0.2)  # half of its quota is free
+    assert second(0.5, used=0.8, plan=PLAN)  # beyond costs nothing
+
+
+def test_a_fleet_lets_less_through_of_a_flood_where_that_costs_more_than_it_earns():
+    """120 gateways, four times the quota for twelve seconds, and a meter that tells a second late."""
+    def flood(plan, seed):
+        fleet, where = [quotas_of(seed=1000 * seed + n) for n in range(120)], Random(seed)
+        meter, store, over, within = [0.0] * 14, plan.burst, 0, 0
+        for n in range(12 * 12):
+            now = n / 12
+            quotas = fleet[where.randrange(120)]
+            a = quotas.account(now, "c", plan, 120)
+            a.asked += 1.0
+            store = min(plan.burst, store + plan.rate / 12)
+            if quotas.inside(a, 1.0, False):
+                quotas.take(a, 1.0, True)
+                meter[int(now)] += 1.0
+                if store >= 1:
+                    within, store = within + 1, store - 1
+                else:
+                    over += 1
+                if now >= 2:
+                    a.metered(now, meter[int(now) - 2] / plan.rate, 1.0)
+        return over, within
+
+    quota, seeds = 12.0 + 12 * 3.0, range(10)
+    dear, free = ([flood(plan, seed) for seed in seeds] for plan in (DEAR, PLAN))
+    assert sum(over for over, _ in dear) < 0.7 * sum(over for over, _ in free)
+    assert sum(within for _, within in dear) > 0.85 * quota * len(seeds)  # and the quota is used
