--- a/micagate/control.py
+++ b/micagate/control.py
@@ -228,6 +228,7 @@
             account = self._accounts[key] = Account(plan, spread, now, self._born)
         elif account.spread != spread:
             account.spread, account.depth, account.floor = spread, plan.burst / spread, plan.rate / spread
+            account.thin = LEAST * spread > plan.burst
         self._accounts.move_to_end(key)
         self._refill(now, account)
         return account
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import signal
 import socket
 import struct
@@ -75,6 +76,29 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+def test_a_bad_client_that_sends_much_at_once_and_goes_leaves_nothing_behind(how):
+    async def scenario():
+        worker = Worker("w")
+        async with scene(worker) as (gatekeeper, _, client):
+            assert (await client.ask("write")).status == 200
+            folder = f"/proc/{gatekeeper.process.pid}/fd"
+            before = len(os.listdir(folder))
+            for n in range(12):
+                bad = await gatekeeper.client()
+                many = [Client.request("write", id=f"m{n}-{k}") for k in range(200)]
+                bad.send(b"".join(many) + b"\0noise" * n)
+                leave(bad, how)
+                if how == "half":
+                    while await bad.receive() is not None:
+                        pass  # it may hear answers, and then the end
+            assert (await client.ask("write")).status == 200
+            # One connection to the worker stood before; whatever else is open by now leads there, too.
+            await until(lambda: len(os.listdir(folder)) <= before - 1 + worker.connections - worker.closed)
+            assert (await client.ask("write")).status == 200
+    run(scenario())
+
+
 def test_a_client_that_is_read_no_further_is_seen_to_leave_before_its_request_ends():
     async def scenario():
         go, script = gated()
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -238,6 +238,8 @@
 
     # At full use a request of one unit comes here every ten seconds.
     assert not second(0.5, used=0.8) and second(2.0, used=0.8)
+    moved = quotas_of()
+    assert [moved.account(0.0, "c", DEAR, spread).thin for spread in (3, 30, 3)] == [False, True, False]
     assert second(0.5, used=0.2)  # half of its quota is free
     assert second(0.5, used=0.8, plan=PLAN)  # beyond costs nothing
 
