--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -193,3 +193,21 @@
             got = await client.ask("write")
             assert got.status == 200 and got.body == b"ok"
     run(scenario())
+
+
+def test_an_answer_that_never_ends_is_over_at_the_clients_deadline():
+    async def endless(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while not writer.transport.is_closing():
+            writer.write(b"1\r\nx\r\n")
+            await asyncio.sleep(0.01)
+
+    async def scenario():
+        worker = Worker("w", endless)
+        async with scene(worker) as (_, _, client):
+            reply = await client.ask("write", timeout="0.5")
+            assert reply.status in (502, 504) and len(worker.seen) == 1
+            await until(lambda: worker.connections == 1 and worker.closed == 1)
+            worker.script = answer()
+            assert (await client.ask("write")).status == 200 and worker.over == [1, 2]
+    run(scenario())
