--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -128,21 +128,31 @@
 
 def test_a_drain_answers_what_came_at_the_moment_of_its_closes():
     async def scenario():
-        worker = Worker("w")
-        async with scene(worker, ends=True) as (gatekeeper, _, client):
-            assert (await client.ask("write")).status == 200
-            gatekeeper.process.send_signal(signal.SIGTERM)
-            await gatekeeper.logged("stopping")
-            gatekeeper.process.send_signal(signal.SIGSTOP)
-            client.send(Client.request("write"))  # on an idle connection
-            fresh = await gatekeeper.client()  # and on one that is in the backlog
-            fresh.send(Client.request("write"))
-            await asyncio.sleep(STILL_COMING + 0.1)  # the listener is due to close
+        loop, missed = asyncio.get_running_loop(), True
+        while missed:  # stopped too late, on a machine that is very busy: again
+            async with scene(Worker("w"), ends=True) as (gatekeeper, _, client):
+                missed = await drained(loop, gatekeeper, client)
+
+    async def drained(loop, gatekeeper, client):
+        assert (await client.ask("write")).status == 200
+        began = loop.time()
+        gatekeeper.process.send_signal(signal.SIGTERM)
+        await gatekeeper.logged("stopping")
+        gatekeeper.process.send_signal(signal.SIGSTOP)
+        if loop.time() - began > STILL_COMING / 2:
             gatekeeper.process.send_signal(signal.SIGCONT)
-            for one in (client, fresh):
-                reply = await one.receive()
-                assert reply is not None and reply.status == 200 and reply.headers["connection"] == "close"
-            assert await gatekeeper.process.wait() == 0
+            await gatekeeper.process.wait()
+            return True
+        client.send(Client.request("write"))  # on an idle connection
+        fresh = await gatekeeper.client()  # and on one that is in the backlog
+        fresh.send(Client.request("write"))
+        await asyncio.sleep(STILL_COMING + 0.1)  # the listener is due to close
+        gatekeeper.process.send_signal(signal.SIGCONT)
+        for one in (client, fresh):
+            reply = await one.receive()
+            assert reply is not None and reply.status == 200 and reply.headers["connection"] == "close"
+        assert await gatekeeper.process.wait() == 0
+        return False
     run(scenario())
 
 
@@ -171,12 +181,13 @@
         async with scene(worker, ends=True) as (gatekeeper, discovery, client):
             client.send(Client.request("write", timeout="3.0"))
             await until(lambda: worker.seen)
+            other = await gatekeeper.client()
             gatekeeper.process.send_signal(signal.SIGTERM)
             await gatekeeper.logged("stopping")
             await gatekeeper.reload(gatekeeper.file.read_text(), "reloaded")
             gatekeeper.process.send_signal(signal.SIGTERM)
             gatekeeper.process.send_signal(signal.SIGINT)
-            assert await (await gatekeeper.client()).ended()  # idle, and closed: the drain has gone on
+            assert await other.ended()  # idle, and closed: the drain has gone on
             go.set()
             reply = await client.receive()
             assert reply is not None and reply.status == 200
