A client is looked at right before each attempt, and every 0.02 s while it is not read

Cause, in oliveloft/server.py as it was: - `_turn_down` with `data_received`: after noise beyond LINGER_BYTES the reading stops, but `_held` was set for much sent ahead alone. Where the close and the outcome that calls for another attempt came in one turn of the loop, or this process stood still, the attempt went out, also for a client that is read.

Change: `Attended.send` looks at the client right before an attempt goes to a connection, `Client._begin` before the first one. One found to have left is told as `Abandoned`, as any departure. Whether a client is read is now asked of its transport, whatever stopped the reading; those that are not are looked at every 0.02 s with one call of poll for all. An end of sending (`eof_received`) counts at once, also where a reply is still unread. Idle clients cost nothing.

Not covered by the look: an attempt whose connection comes up late (`Connection.connection_made`). There the bound is LOOK and the loop's delay.

--- a/oliveloft/server.py
+++ b/oliveloft/server.py
@@ -6,15 +6,16 @@
 import logging
 import re
 from collections import deque
+from collections.abc import Callable
 from itertools import islice
-from typing import cast
+from typing import Any, cast
 
 import httptools
 
 from micagate import interface as i
 from oliveloft.gateway import Bridge, Request
 from oliveloft.peek import gone, unread
-from oliveloft.workers import HOP_BY_HOP, MAX_BODY, MAX_HEAD
+from oliveloft.workers import HOP_BY_HOP, MAX_BODY, MAX_HEAD, Attempt, Workers
 
 log = logging.getLogger("oliveloft")
 
@@ -26,7 +27,9 @@
 MISTAKES = 3  # requests turned down on one connection, after which it is closed
 PIPELINE = 16  # requests held of one connection before it is read no further, or bytes of their bodies
 PIPELINE_BYTES = MAX_BODY
-LOOK = 0.1  # seconds between looks at whether clients that are read no further are still there
+# Seconds between looks at whether clients that are read no further are still there: an attempt that begins
+# over 0.1 s after the close is a break (days of service), and the rest of that is the loop's own delay.
+LOOK = 0.02
 LOOKED_AT = 8  # of the oldest connections that have sent nothing, when one of them has to make room
 SPARE = 24  # connections beyond the bound that still hear a refusal
 MOST_WEIGHTS = 256  # forms of X-Weight kept as read
@@ -74,8 +77,8 @@
     """One client connection: requests are served one after another, replies go out in their order."""
 
     __slots__ = ("_server", "_transport", "_parser", "_incoming", "_headed", "_queue", "_current", "_keep",
-                 "_waiting", "_busy", "_paused", "_stopped", "_ended", "_mistakes", "_unread", "_held",
-                 "lingering", "since", "overflow", "good")
+                 "_waiting", "_busy", "_paused", "_stopped", "_ended", "_mistakes", "_unread", "lingering",
+                 "since", "overflow", "good")
 
     def __init__(self, server: Server) -> None:
         self._server = server
@@ -89,7 +92,6 @@
         self._busy = False  # a request is being answered
         self._keep = True
         self._paused = False  # the client does not read its replies
-        self._held = False  # it is read no further until what it has asked is answered
         self._stopped = False  # nothing further is read of it
         self._ended = False  # the last reply is out
         self.lingering = False
@@ -110,11 +112,20 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has left; what it asked for is owed no more."""
         self._transport = self._parser = None  # parser and protocol refer to each other
+        self._server.left(self)
+        self._leave()
+
+    def eof_received(self) -> None:
+        """The client has ended its sending, and is taken to have left, also where a reply is still unread."""
+        self._leave()
+
+    def _leave(self) -> None:
+        """What the client asked for is owed no more, and nothing of it is begun."""
         self._incoming = None
         self._queue.clear()
         current, self._current = self._current, None
-        self._server.left(self)
         if current is not None:
+            self._server.over(current)
             self._server.bridge.abandon(current)
 
     def pause_writing(self) -> None:
@@ -134,7 +145,7 @@
             # could be lost to a reset, but only so much of it.
             self._unread += len(data)
             if self._unread > LINGER_BYTES and self._transport is not None:
-                self._transport.pause_reading()
+                self._server.hold(self, self._transport)
             return
         self._unread += len(data)
         try:
@@ -221,9 +232,7 @@
         if self._queue:
             self._waiting += 1 + incoming.size
         if (len(self._queue) >= PIPELINE or self._waiting >= PIPELINE_BYTES) and self._transport is not None:
-            self._transport.pause_reading()  # guards the memory: what waits here is bounded
-            self._held = True
-            self._server.hold(self)
+            self._server.hold(self, self._transport)  # guards the memory: what waits here is bounded
 
     # Serving.
 
@@ -240,10 +249,8 @@
         """Begin the next request, if none is on its way."""
         while self._queue and not (self._busy or self._paused or self._ended) and self._transport is not None:
             incoming = self._queue.popleft()
-            if self._held and self.look():
-                return
             if not self._queue and self._waiting:
-                self._waiting, self._held = 0, False
+                self._waiting = 0
                 self._transport.resume_reading()
             self._busy = True
             self._keep = incoming.keep and not self.overflow
@@ -271,6 +278,8 @@
             ready = self._server.ready()
             self.reply(200 if ready else 503, b"", b"ok\n" if ready and incoming.method == b"GET" else b"")
             return
+        if self.look():
+            return
         server, now = self._server, self._server.loop.time()
         event, head, deadline = server.read(incoming, path, query, now)
         server.served(self)
@@ -281,6 +290,7 @@
         request = server.bridge.submit(event, head, b"".join(incoming.body), deadline, self.reply)
         if not request.ended:
             self._current = request
+            server.asked(request, self)
 
     def _reject(self, status: int, why: str) -> None:
         """A request that was never taken on: the reason goes out, and the connection is closed.
@@ -296,7 +306,9 @@
 
     def reply(self, status: int, headers: bytes, body: bytes) -> None:
         """The final reply to the request on its way."""
-        self._current = None
+        current, self._current = self._current, None
+        if current is not None:
+            self._server.over(current)
         self._busy = False
         transport = self._transport
         if transport is None:
@@ -320,21 +332,27 @@
         else:
             transport.close()
 
-    @property
-    def held(self) -> bool:
-        """Whether it is read no further for now, so that no event tells of its end."""
-        return self._held and self._transport is not None
+    def held(self) -> asyncio.Transport | None:
+        """Its connection, where that is read no further for now, so that no event tells of its end."""
+        transport = self._transport
+        return transport if transport and not (transport.is_closing() or transport.is_reading()) else None
 
     def look(self) -> bool:
-        """Whether its client has left, though it is not read; then it is over.
+        """Whether its client has left, read or not; then it is over.
 
-        Guards workers against what is asked for by nobody any more.
+        Guards workers against what is asked for by nobody any more. Harm: a call of the system for each
+        attempt.
         """
-        if not gone(self._transport):
+        if not gone([self._transport]):
             return False
-        self.abort()
+        self.depart()
         return True
 
+    def depart(self) -> None:
+        """Its client was seen to have left."""
+        self._leave()
+        self.abort()
+
     def spare(self) -> bool:
         """Whether it may be closed: idle, and no request of it waits to be read."""
         return self.idle() and not unread(self._transport)
@@ -391,6 +409,7 @@
         self._plans = {p.name.encode() for p in settings.plans}
         self._able = self._retired = False
         self._held: set[Client] = set()  # those that are read no further
+        self._asking: dict[str, Client] = {}  # who waits for a request, by its id
         self._weights: dict[bytes, tuple[float, int]] = {}
 
     def able(self) -> None:
@@ -446,17 +465,35 @@
         """The usual client that has been idle the longest."""
         return next((client for client in self._usual if client.spare()), None)
 
-    def hold(self, client: Client) -> None:
-        """A client is read no further: whether it has left must be looked for."""
+    def hold(self, client: Client, transport: asyncio.Transport) -> None:
+        """A client is read no further for now: whether it has left must be looked for."""
+        transport.pause_reading()
         if not self._held:
             self.loop.call_later(LOOK, self._look)
         self._held.add(client)
 
     def _look(self) -> None:
-        self._held = {client for client in self._held if client.held and not client.look()}
+        """Look at all of them in one call, as long as there are any."""
+        held: dict[asyncio.BaseTransport, Client] = {t: c for c in self._held if (t := c.held()) is not None}
+        for transport in gone(held):
+            held.pop(transport).depart()
+        self._held = set(held.values())
         if self._held:
             self.loop.call_later(LOOK, self._look)
 
+    def asked(self, request: Request, client: Client) -> None:
+        """A client waits for its request."""
+        self._asking[request.event.request] = client
+
+    def over(self, request: Request) -> None:
+        """It waits no more."""
+        self._asking.pop(request.event.request, None)
+
+    def present(self, request: str) -> bool:
+        """Whether whoever waits for a request is still there; one found to have left is told of at once."""
+        client = self._asking.get(request)
+        return client is None or not client.look()
+
     def left(self, client: Client) -> None:
         """A connection is gone."""
         self._clients.pop(client, None)
@@ -542,3 +579,20 @@
                 or not 1 <= int(spread) <= self._gateways or int(first) >= self._gateways:
             raise BadRequest(400, "X-Weight")
         return float(units), int(spread)
+
+
+class Attended(Workers):
+    """Workers that are sent nothing on behalf of a client that has left.
+
+    The client is looked at right before an attempt begins. Guards against departures that have come but are
+    not read: of a client that is read no further, or behind a moment in which this process stood still.
+    """
+
+    def __init__(self, *args: Any, **how: Any) -> None:
+        super().__init__(*args, **how)
+        self.present: Callable[[str], bool] = lambda request: True
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt, unless nobody waits for it any more; then it is void by now."""
+        if self.present(attempt.request):
+            super().send(attempt)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,10 +10,10 @@
 import struct
 
 import pytest
-from stand import Client, Worker, answer, run, scene, until
+from stand import Client, Worker, answer, run, scene, settled, until
 
 from oliveloft.__main__ import STILL_COMING
-from oliveloft.server import IDLE, PIPELINE
+from oliveloft.server import IDLE, LINGER_BYTES, LOOK, PIPELINE
 
 
 def gated():
@@ -112,6 +112,75 @@
     run(scenario())
 
 
+def state(gatekeeper) -> str:
+    """What its process does; T: it is stopped."""
+    with open(f"/proc/{gatekeeper.process.pid}/stat") as file:
+        return file.read().rpartition(")")[2].split()[0]
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+@pytest.mark.parametrize("ahead", [1, PIPELINE + 4])
+def test_no_further_attempt_begins_for_a_client_whose_departure_has_come_but_is_not_read(how, ahead):
+    async def scenario():
+        go, said, full = asyncio.Event(), asyncio.Event(), answer(503, headers="X-Not-Processed: 1\r\n")
+
+        async def script(request, writer):
+            await go.wait()
+            await full(request, writer)
+            said.set()
+
+        workers = [Worker("w"), Worker("v")]
+        async with scene(*workers) as (gatekeeper, _, client):
+            while not all(worker.seen for worker in workers):
+                assert (await client.ask()).status == 200
+            await settled()  # a connection to each is ready to be used: nothing needs to come up first
+            for worker in workers:
+                worker.script = script
+                worker.seen.clear()
+            client.send(b"".join(Client.request(timeout="3.9", id=f"p{n}") for n in range(ahead)))
+            await until(lambda: [worker for worker in workers if worker.seen])
+            gatekeeper.process.send_signal(signal.SIGSTOP)
+            await until(lambda: state(gatekeeper) == "T")
+            go.set()
+            await said.wait()  # the first attempt was turned away, and may run elsewhere
+            leave(client, how)
+            sock = client.writer.get_extra_info("socket")
+            await until(lambda: how == "half" or sock.fileno() < 0)  # it has left: a close comes a turn later
+            gatekeeper.process.send_signal(signal.SIGCONT)
+            for worker in workers:
+                worker.script = answer()
+            other = await gatekeeper.client()
+            for _ in range(5):
+                assert (await other.ask("write")).status == 200
+            assert [r.id for w in workers for r in w.seen if r.id.startswith("p")] == ["p0"]
+    run(scenario())
+
+
+@pytest.mark.parametrize("how", ["close", "half"])
+def test_a_client_that_is_read_no_further_for_its_noise_is_seen_to_leave(how):
+    async def scenario():
+        go, script = gated()
+        worker = Worker("w", script)
+        async with scene(worker) as (gatekeeper, _, client):
+            good = b"".join(Client.request("write", timeout="3.9", id=f"p{n}") for n in range(3))
+            client.send(good + b"\0" * (4 * LINGER_BYTES))
+            await until(lambda: worker.seen and not client.writer.transport.get_write_buffer_size())
+            leave(client, how)
+            worker.script = answer()
+            other = await gatekeeper.client()
+            for _ in range(5):
+                assert (await other.ask("write")).status == 200
+            go.set()
+            for _ in range(5):
+                assert (await other.ask("write")).status == 200
+            assert [request.id for request in worker.seen if request.id.startswith("p")] == ["p0"]
+    run(scenario())
+
+
+def test_looks_at_clients_that_are_read_no_further_are_close_enough_to_see_a_departure_in_time():
+    assert LOOK <= 0.1 / 2  # from 0.1 s after a close an attempt is a break; the rest is the loop's delay
+
+
 def test_an_idle_connection_is_not_closed_over_a_request_that_has_come():
     async def scenario():
         worker = Worker("w")
