The test of a due idle connection stops the process where it means to

`an_idle_connection_is_not_closed_over_a_request_that_has_come` failed on a busy machine, on the program as it was and as it is: 1 of 1 whole run, 3 of 5 runs of the file, 4 of 8 runs alone at a load of 9. Seen with a log of the events: the signal stopped the process between its first reply and its own note of that answer. On the next turn the answer seemed to have taken 2.311 s, so control began and the second request was refused, rightly: another crossing than the one the test is about. A first guess, that the second request was read before the stop, was ruled out: waiting for the stop alone left 4 of 8 runs failing.

The test now stops the process once it waits (state S), and sends only once it is stopped (state T).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -113,7 +113,7 @@
 
 
 def state(gatekeeper) -> str:
-    """What its process does; T: it is stopped."""
+    """What its process does; S: it waits, T: it is stopped."""
     with open(f"/proc/{gatekeeper.process.pid}/stat") as file:
         return file.read().rpartition(")")[2].split()[0]
 
@@ -186,7 +186,9 @@
         worker = Worker("w")
         async with scene(worker) as (gatekeeper, _, client):
             assert (await client.ask("write")).status == 200
+            await until(lambda: state(gatekeeper) == "S")  # done with the first: or it would seem to end late
             gatekeeper.process.send_signal(signal.SIGSTOP)
+            await until(lambda: state(gatekeeper) == "T")  # a signal takes effect some time after it was sent
             client.send(Client.request("write"))
             await asyncio.sleep(IDLE + 0.3)  # its idle time is over when it runs again
             gatekeeper.process.send_signal(signal.SIGCONT)
