A test holds that idle clients keep no list out while discovery is down

Idle clients fill all that the gatekeeper takes of them, with 256 and 1,024 descriptors, while discovery is silent or refuses and no list is known; then it returns. The gatekeeper must become healthy and serve.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -25,7 +25,7 @@
     until,
 )
 
-from oliveloft.__main__ import serve
+from oliveloft.__main__ import CLIENT_SHARE, RESERVE, serve
 from oliveloft.config import load
 from oliveloft.gateway import Bridge
 from oliveloft.workers import SETTLED
@@ -221,6 +221,34 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("down", ["silent", "refusing"])
+@pytest.mark.parametrize("sockets", [256, 1024])
+def test_idle_clients_that_fill_it_while_discovery_is_down_keep_no_list_out(sockets, down):
+    async def scenario():
+        worker = await Worker("w").start()
+        agent = await Discovery([worker.entry()]).start()
+        agent.silent = down == "silent"
+        if down == "refusing":
+            agent.stop()
+        gatekeeper = await launch(config(agent.port, sockets=sockets))
+        try:
+            assert await gatekeeper.health() == 503
+            folder, bound = f"/proc/{gatekeeper.process.pid}/fd", int((sockets - RESERVE) * CLIENT_SHARE)
+            idle = [await gatekeeper.client() for _ in range(sockets)]
+            await until(lambda: len(os.listdir(folder)) > bound)  # all that it takes of clients
+            agent.silent = False
+            if down == "refusing":
+                await agent.start()
+            while await gatekeeper.health() != 200:
+                await asyncio.sleep(0.005)
+            assert (await (await gatekeeper.client()).ask("write")).status == 200
+            assert len(idle) == sockets and len(worker.seen) == 1
+        finally:
+            gatekeeper.process.kill()
+            await gatekeeper.process.wait()
+    run(scenario())
+
+
 def test_descriptors_that_run_out_do_not_end_it():
     async def scenario():
         worker = Worker("w")
