A watch keeps its connection: keep-alive is read while the parser still knows

Seen: against the scripted discovery of the tests, six calls came over six connections. No answer had announced an end.

Cause: `Link.data_received` asked the parser for `should_keep_alive()` after `feed_data`, and httptools says False there, of every answer; it says True only within `on_message_complete` (a probe of the parser alone shows both). So each answer was taken for an announced end, and each call paid for a connection, which may come up late or never.

Change: `Link.on_message_complete` keeps what the parser says. Measured: the same six calls come over one connection. The test of watches that follow one another now counts connections; it failed without the change (more than one).

--- a/oliveloft/discovery.py
+++ b/oliveloft/discovery.py
@@ -98,7 +98,7 @@
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self._size = 0
-        self._whole = False
+        self._whole = self._ends = False  # the answer, and whether its connection ends with it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask at once."""
@@ -126,7 +126,7 @@
             watch.failed(self, f"malformed answer: {error}", afresh=True)
             return
         if self._whole:
-            watch.answered(parser.get_status_code(), b"".join(self._body), not parser.should_keep_alive())
+            watch.answered(parser.get_status_code(), b"".join(self._body), self._ends)
 
     def on_body(self, data: bytes) -> None:
         """A piece of a list."""
@@ -136,8 +136,9 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """An answer is whole."""
+        """An answer is whole: only now does the parser know whether the connection goes on (keep-alive)."""
         self._whole = True
+        self._ends = not cast(httptools.HttpResponseParser, self._parser).should_keep_alive()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The agent has closed, or died."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -43,6 +43,7 @@
             assert discovery.asked[0] == "/v1/servers"
             assert [path.partition("&")[0] for path in discovery.asked[1:]] == [
                 f"/v1/servers?index={n}" for n in range(1, 5)]
+            assert len(discovery._ends) == 1  # over one connection
             assert (await client.ask("write")).status == 200
     run(scenario())
 
