What discovery has is told within 6 s in every stated mix of failures

Seen: where lists are asked for, a watch alone that falls silent is noticed 6.5 s after the last answer, and refusals (503) on top of it back off up to 3 s each. A change counts as told 6 s after discovery had it and could be reached.

Cause: `ASKED` (wait 5, silence 1.5, and as much again in doubt), LONGEST_BUSY 3, and `failed`/`_turned_away`, whose pauses knew nothing of the time already lost.

Change: the docstring of `Pace` derives the bound, 5.4 s for the call that is answered, 0.3 s to connect and be answered, 0.3 s of margin. Waits are 3.8 s, an answer may come 0.8 s late, a call in doubt waits 0.8 s, refusals pause 2.6 s at most. One pause on top of a possible silence is cut so that a call begins in time (`_delay`). All pauses have jitter, with the old means at their longest. The agent (`PUSHED`) keeps its figures. A discovery that refuses is taken to be reachable.

Tests: a play of the watch on a loop with its own clock, and a forced crossing on real sockets. The test of the figures names `late`, which was a part of `silence`, and checks both; QUICK and `patient` give it the value that they gave to `silence`.

--- a/oliveloft/discovery.py
+++ b/oliveloft/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -19,30 +20,62 @@
 log = logging.getLogger("oliveloft")
 
 STATES = {"up": i.HEALTHY, "draining": i.DRAINING, "removed": i.GONE}
-BACKOFF = 0.1  # seconds before the first try to reconnect, doubled with each further one
-# Seconds, about, between calls that discovery turns away as too many. The longest lets two calls fall into
-# the 6 s after which news counts as told, whether or not it came (protocol).
-BUSY, LONGEST_BUSY = 0.5, 3.0
+BACKOFF = 0.1  # seconds, at most, before the first try to reconnect, doubled with each further one
+BUSY, LONGEST_BUSY = 0.5, 2.6  # the same, in seconds, where discovery turns calls away as too many
+# Jitter: the least share of a pause, while pauses double and once they are at their longest. There it is
+# narrow, so that the mean pause stays near the longest, and with it discovery's load far from the most.
+LEAST, LEAST_LONGEST = 0.5, 0.73
 LOOK = 0.02  # seconds in which a loop that stood still reads what has come meanwhile
+TOLD = 6.0  # seconds after which a change counts as told, once discovery has it and can be reached
+LAST = TOLD - 0.6  # until then a call for it has to begin: 0.3 s to connect and be answered, 0.3 s of margin
+SPREAD = 0.3  # seconds before that moment over which the calls that are brought forward to it fall (jitter)
+SOON = 0.05  # seconds: they are not brought forward where less is left
 MAX_LIST = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
 class Pace:
-    """How patient a watch is, in seconds."""
+    """How patient a watch is, in seconds.
+
+    A change counts as told `TOLD` after T, the moment from which discovery both had it and could be reached;
+    a discovery that refuses (503) is taken to be reachable. So a call that is answered has to begin by
+    T + LAST. It does, whatever is mixed, since between one call and the next there lie at most
+
+        b = LONGEST_BUSY                        after a refusal,
+        r = longest                             after a reset, a cut or malformed answer, a failed connect,
+        n = max(doubt + late + LOOK, silence)   from a call made in doubt, or a connect, to its silence,
+        w = wait + late + LOOK                  from the last answer to the silence of the watch after it.
+
+    1. Any number of failures that are seen, with no silence: once the last is over, a call begins within
+       max(b, r), so they may go on until T + LAST - b; two calls fall into every LAST, as 2b < LAST.
+    2. A silence is the first thing to fail: w + BACKOFF < LAST. What is left holds a connection that is up
+       to 1 s late (of the margin too), or two refusals: w + BACKOFF + BUSY + 2 SOON < LAST, see 4.
+    3. Failures come before the one silence, or discovery was down or overbooked for long: the first call
+       after T comes within max(b, r), falls silent, and the next begins by T + b + n + r < T + LAST. Where
+       nothing but refusals came before, b + n + BACKOFF leaves room for one more on top, see 4.
+    4. Failures on top of a silence: T is discovery's last sign before the silence at the earliest. The first
+       pause that would go beyond LAST after that sign ends within `SPREAD` before it instead (`_delay`), so
+       one more call begins in time. What fails after a while, as a watch that is reset, may have been silent.
+    5. An announced end of a connection is no failure: the time in which the next one comes up is taken off
+       the wait of its first call, so that it falls under 2.
+
+    Not bounded: failures that last longer than in 1, more of them on top of a silence than in 2 to 4, and a
+    second silence. Calls enough for those would keep an overbooked discovery shut for the whole fleet.
+    """
 
     wait: float  # that a watch may stay open: a silent service is noticed soon after
-    silence: float  # beyond that, for an answer that needs no wait or to connect: the service is silent
-    longest: float  # between two tries to reconnect
+    late: float  # beyond that wait, for its answer: after that the service is silent
+    silence: float  # for an answer that needs no wait, or to connect: after that the service is silent
+    longest: float  # at most between two tries to reconnect
     doubt: float  # that a watch may stay open while the service has not answered since it failed
 
 
-# A service of fixed capacity for the whole fleet: calls cost it work, and each gatekeeper asks seldom.
-ASKED = Pace(wait=5.0, silence=1.5, longest=1.0, doubt=5.0)
+# A service of fixed capacity for the whole fleet: calls cost it work, so the wait is as long as 2 allows.
+ASKED = Pace(wait=3.8, late=0.8, silence=1.5, longest=1.15, doubt=0.8)
 # An agent on this machine, to which lists are pushed: its answers cost nothing, and what it has counts as
 # told whether or not anybody asks. So that no failure of a watch, seen or unseen, lasts as long as a drain's
-# grace (1 s), wait + silence + the first pause stay under it, and so do doubt + silence + longest.
-PUSHED = Pace(wait=0.5, silence=0.35, longest=0.2, doubt=0.2)
+# grace (1 s), wait + late + the first pause stay under it, and so do doubt + late + longest.
+PUSHED = Pace(wait=0.5, late=0.35, silence=0.35, longest=0.2, doubt=0.2)
 
 
 def endpoint(raw: Any, offset: float) -> Endpoint:
@@ -174,6 +207,9 @@
         self._link: Link | None = None
         self._index = held  # the version of the list that stands; None: the whole list is due
         self._pause, self._busy = BACKOFF, BUSY
+        self._sign = loop.time()  # discovery's last sign: an answer of any kind, or a refused connection
+        self._began = self._sign  # when the latest connect or call began
+        self._last = math.inf  # after a silence: until then a call for what it missed has to begin
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._failing = False
@@ -183,7 +219,7 @@
     def start(self) -> None:
         """Connect, in place of any connection that stands or is on its way."""
         self.stop()
-        self._link = Link(self, self._where)
+        self._link, self._began = Link(self, self._where), self._loop.time()
         self._task = self._loop.create_task(self._connect(self._link))
 
     def stop(self) -> None:
@@ -203,7 +239,7 @@
             return
         self.stop()
         self._where, self._pause, self._busy, self._failing = where, BACKOFF, BUSY, False
-        self._index = None
+        self._index, self._sign, self._last = None, self._loop.time(), math.inf
         self.start()
 
     def _drop(self) -> None:
@@ -220,16 +256,24 @@
             self.failed(link, f"cannot connect: {error or 'timed out'}")
 
     def failed(self, link: Link, why: str, afresh: bool = False) -> None:
-        """Try again later, `afresh` with the whole list; the old list stands."""
+        """Try again later, `afresh` with the whole list; the old list stands.
+
+        What had begun a while ago was silent since then, or may have been.
+        """
         if link is not self._link:
             return
         self._drop()
+        now = self._loop.time()
+        if now - self._began > self._pace.doubt:
+            self._last = self._sign + LAST
+        else:
+            self._sign = now
         if afresh:
             self._index = None
         if not self._failing:
             log.warning("discovery: %s; keeping the list and trying again", why)
         self._failing = True
-        self._after(self._pause, self.start)
+        self._after(self._delay(self._pause, self._pace.longest), self.start)
         self._pause = min(self._pace.longest, 2 * self._pause)
 
     def _turned_away(self) -> None:
@@ -242,23 +286,43 @@
         if not self._failing:
             log.warning("discovery: turned away; keeping the list and trying again")
         self._drop()
-        self._failing = True
-        self._after(self._busy * (0.5 + 0.5 * self._random.random()), self.start)
+        self._failing, self._sign = True, self._loop.time()
+        self._after(self._delay(self._busy, LONGEST_BUSY), self.start)
         self._busy = min(LONGEST_BUSY, 2 * self._busy)
 
+    def _delay(self, pause: float, longest: float) -> float:
+        """How many seconds to wait before the next call: `pause` at most, which may grow up to `longest`.
+
+        Guards what was missed in a silence: the pause ends before it counts as told. Guards discovery, too:
+        gatekeepers that failed together do not come back together (jitter), and one call in a silence's wake
+        is brought forward, not more. Harm: one call more, of an overbooked discovery.
+        """
+        left = self._last - self._loop.time()
+        if left >= pause + 2 * SOON:
+            return pause * self._random.uniform(LEAST if pause < longest else LEAST_LONGEST, 1.0)
+        self._last = math.inf
+        if left >= SOON:
+            return self._random.uniform(max(left - SPREAD, SOON / 2), left)
+        return self._delay(pause, longest)
+
     def _after(self, delay: float, call: Callable[[], None]) -> None:
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._loop.call_later(delay, call)
 
     def ask(self) -> None:
-        """Ask for the whole list, or for what comes after it."""
+        """Ask over a new connection, and notice a silence no later than if it had come up at once."""
+        wait = self._pace.wait - (self._loop.time() - self._sign)
+        self._call(self._pace.doubt if self._failing else max(self._pace.doubt, wait))
+
+    def _call(self, wait: float) -> None:
+        """Ask for the whole list, or for what comes after it, which may take `wait` seconds."""
         link = cast(Link, self._link)
         path, silence = "/v1/servers", self._pace.silence
         if self._index is not None:
-            wait = self._pace.doubt if self._failing else self._pace.wait
-            path, silence = f"{path}?index={self._index}&wait={int(wait * 1000)}", wait + silence
+            path, silence = f"{path}?index={self._index}&wait={int(wait * 1000)}", wait + self._pace.late
         link.ask(path)
+        self._began = self._loop.time()
         # Guards against an agent that has gone silent, which no close tells of: an open wait ends in time.
         # What came while this process itself stood still is read first.
         self._after(silence, lambda: self._after(LOOK, lambda: self.failed(link, "silent")))
@@ -281,6 +345,7 @@
         if self._failing:
             log.info("discovery: back")
         self._failing, self._pause, self._busy = False, BACKOFF, BUSY
+        self._sign, self._last = self._loop.time(), math.inf
         self._index = news.index
         if news.skipped and news.skipped != self._skipped:
             log.warning("discovery: skipped a malformed entry: %s", news.skipped)
@@ -288,6 +353,6 @@
         if ended:
             self.start()  # announced with the answer, so no failure
         else:
-            self.ask()  # first: the next watch must begin soon after the last answer
+            self._call(self._pace.wait)  # first: the next watch must begin soon after the last answer
         self.heard.set()
         self._tell(news)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,12 +1,15 @@
 """The watch: where it starts, what it skips, and what it does when discovery fails."""
 
 import asyncio
+import contextlib
+import selectors
 from random import Random
 
+import pytest
 from stand import Discovery, Worker, config, launch, run, scene, until
 
 from oliveloft import discovery as module
-from oliveloft.discovery import ASKED, LOOK, PUSHED, News
+from oliveloft.discovery import ASKED, LAST, LOOK, PUSHED, SOON, TOLD, News
 
 
 def test_it_starts_from_what_it_knew_while_discovery_is_down():
@@ -125,7 +128,7 @@
     assert len(set(waits)) == len(waits)  # no two gatekeepers, nor two tries of one, in step
 
 
-QUICK = module.Pace(wait=0.05, silence=0.2, longest=0.2, doubt=0.03)
+QUICK = module.Pace(wait=0.05, late=0.2, silence=0.2, longest=0.2, doubt=0.03)
 
 
 def test_a_silent_agent_is_left_and_an_open_wait_is_not():
@@ -152,11 +155,20 @@
 
 def test_no_failure_of_an_agents_watch_lasts_as_long_as_a_drains_grace():
     grace = 1.0  # seconds, the least that a deployment has given so far; news may count from any moment in it
-    assert PUSHED.wait + PUSHED.silence + LOOK + module.BACKOFF < grace
-    assert PUSHED.doubt + PUSHED.silence + LOOK + PUSHED.longest < grace
+    assert PUSHED.wait + PUSHED.late + LOOK + module.BACKOFF < grace
+    assert PUSHED.doubt + PUSHED.late + LOOK + PUSHED.longest < grace
     assert PUSHED.silence + LOOK + PUSHED.longest < grace  # a connection that does not come up
     # What had to be asked for counts as told 6 s after it changed, or 2 s after a wait is over.
-    assert 2 * module.LONGEST_BUSY <= 6.0 and ASKED.silence + LOOK < 2.0
+    assert 2 * module.LONGEST_BUSY <= 6.0 and ASKED.silence + LOOK < 2.0 and ASKED.late + LOOK < 2.0
+
+
+def test_the_figures_keep_the_bounds_that_the_pace_states():
+    busy, found = module.LONGEST_BUSY, max(ASKED.doubt + ASKED.late + LOOK, ASKED.silence)
+    watch = ASKED.wait + ASKED.late + LOOK
+    assert TOLD == 6.0 and 2 * busy < LAST
+    assert watch + module.BACKOFF + module.BUSY + 2 * SOON < LAST
+    assert watch + module.BACKOFF + 1.0 < TOLD  # up to 1 s late
+    assert busy + found + ASKED.longest < LAST
 
 
 def test_a_watch_in_doubt_asks_for_short_waits_until_it_is_answered():
@@ -257,7 +269,7 @@
                     await held.wait()
                 return await loop.create_connection(*args)
 
-        patient = module.Pace(wait=0.05, silence=0.5, longest=0.05, doubt=0.05)
+        patient = module.Pace(wait=0.05, late=0.5, silence=0.5, longest=0.05, doubt=0.05)
         watch = module.Discovery(Loop(), ("127.0.0.1", agent.port), 0.0, lambda news: None, pace=patient)
         body = b'{"index": 9, "snapshot": true, "endpoints": []}'
         agent.raw = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body) + body
@@ -268,3 +280,230 @@
         watch.stop()
         agent.stop()
     run(scenario())
+
+
+class Clock(selectors.SelectSelector):
+    """Moves on to whatever is due next, at once."""
+
+    now = 0.0
+
+    def select(self, timeout=None):
+        """What is ready once the time is over."""
+        assert timeout is not None, "nothing is due any more"
+        self.now += timeout
+        return super().select(0)
+
+
+class Scripted(asyncio.SelectorEventLoop):
+    """A loop on its own clock, and at its far end a discovery that meets each connection as `fate` says.
+
+    "late": it comes up late, and its call meets the next fate. "lost": it never comes up, "refused": at once.
+    Of calls, "busy" is turned away, "reset" and "cut" end with the connection, "dead" later, "malformed" is
+    answered so, "silent" and "half" never to the end, "good" is well answered, "ended" with an announced end.
+    What stands as `trouble` begins meets a fate of its own. From `changed` on, discovery has a change.
+    """
+
+    def __init__(self, fate, trouble, changed, random):
+        self.clock = Clock()
+        super().__init__(self.clock)
+        self.fate, self.trouble, self.changed, self.random = fate, trouble, changed, random
+        self.calls = []  # when each came
+
+    def time(self):
+        """The scripted time."""
+        return self.clock.now
+
+    async def create_connection(self, factory, host, port):
+        """A connection, as its fate has it."""
+        fate = self.fate(self.time())
+        while fate in ("late", "lost", "refused"):
+            await asyncio.sleep({"late": self.random.uniform(0.1, 1.0), "lost": 99.0, "refused": 0.0}[fate])
+            if fate == "refused":
+                raise ConnectionRefusedError
+            fate = self.fate(self.time())
+        link = factory()
+        link.connection_made(Line(self, link, fate))
+
+
+class Line:
+    """A connection of the scripted loop."""
+
+    def __init__(self, loop, link, fate):
+        self.loop, self.link, self.fate, self.open = loop, link, fate, True
+
+    def write(self, call):
+        """A call comes."""
+        loop, fate = self.loop, self.fate or self.loop.fate(self.loop.time())
+        self.fate, now, delay = None, loop.time(), loop.random.uniform(0.0, 0.02)
+        loop.calls.append(now)
+        if b"index=1&" not in call or fate not in ("good", "ended") or now >= loop.changed:
+            loop.call_later(delay, self.answer, fate)
+        elif now + (wait := int(call.partition(b"wait=")[2].split()[0]) / 1000) < loop.trouble:
+            loop.call_later(wait + delay, self.answer, fate)
+        else:
+            loop.call_at(loop.trouble, lambda: self.answer(loop.fate(loop.time())))
+
+    def abort(self):
+        """It is wanted no more."""
+        self.open = False
+
+    def answer(self, fate):
+        """What becomes of a call."""
+        if not self.open or fate in ("silent", "lost"):
+            return
+        if fate == "dead":
+            self.loop.call_later(self.loop.random.uniform(4.0, 4.6), self.answer, "reset")
+            return
+        status = {"busy": 503, "malformed": 500}.get(fate, 200)
+        index = 2 if self.loop.time() >= self.loop.changed else 1
+        body = b'{"index": %d, "snapshot": true, "endpoints": []}' % index
+        end = b"Connection: close\r\n" * (fate == "ended")
+        whole = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n" % (status, len(body), end) + body
+        if fate not in ("reset", "refused"):
+            self.link.data_received(whole[:-9] if fate in ("half", "cut") else whole)
+        if fate in ("reset", "refused", "cut"):
+            self.link.connection_lost(ConnectionResetError())
+
+
+SEEN = ("busy", "busy", "reset", "cut", "malformed")  # failures that are met at once
+UNSEEN = ("silent", "half", "lost", "dead")
+
+
+def told_after(seed, pace, silence=(), then=(), before=(), until=0.0):
+    """Seconds in which a change is told, seeded.
+
+    `before` it, some seconds of failures like these. After it a silence, if any; failures that are seen,
+    until so many seconds after it; one call after the other, what `then` says; then good answers.
+    """
+    random = Random(seed)
+    changed = random.uniform(20.0, 30.0)
+    trouble = changed - random.uniform(0.0, 15.0) * bool(before)
+    first, script, told = [random.choice(silence)] if silence else [], [*then], []
+
+    def fate(now):
+        if now < trouble:
+            return random.choice(("good", "good", "ended"))
+        if now < changed:
+            return random.choice(before)
+        if first:
+            return first.pop()
+        if now < changed + until:
+            return random.choice(SEEN)
+        return script.pop(0) if script else "good"
+
+    async def play():
+        news = asyncio.Event()
+
+        def tell(said):
+            if said.index == 2:
+                told.append(loop.time() - changed)
+                news.set()
+
+        watch = module.Discovery(loop, ("discovery", 1), 0.0, tell, held=1, random=random, pace=pace)
+        watch.start()
+        await news.wait()
+        watch.stop()
+
+    with contextlib.closing(Scripted(fate, trouble, changed, random)) as loop:
+        loop.run_until_complete(play())
+    return told[0]
+
+
+ANSWER = 0.1  # seconds, for an answer in the scripted discovery and for the failing ones before it
+
+
+@pytest.mark.parametrize(("bound", "mix"), [
+    (LAST, {"until": LAST - module.LONGEST_BUSY - ANSWER}),
+    (LAST, {"until": LAST - module.LONGEST_BUSY - ANSWER, "before": SEEN}),
+    (LAST, {"until": LAST - module.LONGEST_BUSY - ANSWER, "before": ("busy",)}),
+    (LAST, {"until": LAST - module.LONGEST_BUSY - ANSWER, "before": ("refused",)}),
+    (LAST, {"until": LAST - module.LONGEST_BUSY - ANSWER, "silence": UNSEEN}),
+    (LAST, {"silence": UNSEEN, "then": ("busy", "busy")}),
+    (LAST, {"silence": UNSEEN, "then": ("cut", "busy")}),
+    (LAST, {"silence": UNSEEN, "then": ("busy", "reset")}),
+    (TOLD, {"silence": UNSEEN, "then": ("late",)}),
+    (LAST, {"silence": UNSEEN, "before": SEEN}),
+    (LAST, {"silence": UNSEEN, "before": ("busy",), "then": ("busy",)}),
+    (TOLD, {"silence": UNSEEN, "before": ("busy",), "then": ("late",)}),
+    (LAST, {"silence": UNSEEN, "before": ("refused",), "then": ("busy", "busy")}),
+    (TOLD, {"silence": UNSEEN, "before": ("refused",), "then": ("late", "busy")})])
+def test_what_discovery_has_is_told_within_its_time_whatever_failed(bound, mix):
+    slack = ANSWER * (bound < TOLD)
+    assert max(told_after(seed, ASKED, **mix) for seed in range(150)) < bound + slack
+
+
+@pytest.mark.parametrize("before", [(), ("reset", "cut", "malformed"), ("refused",)])
+def test_no_silence_of_an_agent_outlasts_a_drains_grace_whatever_came_before(before):
+    assert max(told_after(seed, PUSHED, UNSEEN, before=before) for seed in range(150)) < 1.0
+
+
+def calls(fates, count):
+    """When a scripted discovery that meets a gatekeeper's start so is called, `count` times."""
+    loop = Scripted(lambda now: fates.pop(0) if fates else "good", 999.0, 999.0, Random(1))
+
+    async def play():
+        watch = module.Discovery(loop, ("discovery", 1), 0.0, lambda news: None, random=Random(2))
+        watch.start()
+        while len(loop.calls) < count:
+            await asyncio.sleep(0.01)
+        watch.stop()
+
+    with contextlib.closing(loop):
+        loop.run_until_complete(play())
+    return loop.calls
+
+
+@pytest.mark.parametrize("fates", [["ended", "silent"], ["ended", "late", "silent"]])
+def test_a_connection_that_is_late_after_an_announced_end_delays_no_notice_of_a_silence(fates):
+    assert 0 < calls(fates, 3)[2] - ASKED.wait - ASKED.late - LOOK < module.BACKOFF + ANSWER
+
+
+@pytest.mark.parametrize(("fates", "count", "silent"), [
+    (["good", "silent", "busy"], 4, True), (["good", "dead", "busy"], 4, True),
+    (["good", "good", "reset", "busy"], 5, False),  # it broke at once
+    (["good", "reset", *["refused"] * 20, "silent", "busy"], 5, True),
+    ([*["malformed"] * 20, "silent", "busy"], 23, True)])
+def test_a_call_is_brought_forward_only_where_a_silence_may_have_been(fates, count, silent, monkeypatch):
+    monkeypatch.setattr(module, "BUSY", 60.0)
+    monkeypatch.setattr(module, "LONGEST_BUSY", 60.0)
+    *_, turned_away, following = calls(fates, count)
+    assert (following - turned_away < LAST) is silent
+
+
+def test_pauses_have_jitter_and_one_after_a_silence_ends_before_what_was_missed_counts():
+    loop = Scripted(None, 0.0, 0.0, Random(1))
+    watch = module.Discovery(loop, ("discovery", 1), 0.0, lambda news: None, random=Random(2))
+    with contextlib.closing(loop):
+        for pause, least in ((0.4, 0.2), (ASKED.longest, 0.8)):
+            drawn = [watch._delay(pause, ASKED.longest) for _ in range(50)]
+            assert least <= min(drawn) < max(drawn) <= pause and len(set(drawn)) == 50
+        for left in (2.0, 0.5, 0.1):
+            watch._last = left
+            assert left - module.SPREAD <= watch._delay(2.6, 2.6) <= left
+            assert watch._delay(2.6, 2.6) > 1.8  # one alone is brought forward
+
+
+def test_a_refusal_on_top_of_a_silence_is_followed_by_a_call_in_time(monkeypatch):
+    monkeypatch.setattr(module, "BUSY", 60.0)  # without the silence, the next call would come too late
+    monkeypatch.setattr(module, "LONGEST_BUSY", 60.0)
+    monkeypatch.setattr(module, "LAST", 2.0)
+
+    async def scenario():
+        agent = await Discovery([]).start()
+        told: list[News] = []
+        watch = module.Discovery(asyncio.get_running_loop(), ("127.0.0.1", agent.port), 0.0, told.append,
+                                 pace=QUICK)
+        watch.start()
+        await agent.watched()
+        agent.silent, asked = True, len(agent.asked)
+        await until(lambda: len(agent.asked) > asked)  # never answered
+        agent.silent, agent.raw = False, b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+        agent.change()
+        await until(lambda: len(agent.asked) > asked + 1 and watch._link is None)  # turned away
+        agent.raw = None
+        agent.change({"name": "w", "status": "removed"})
+        await until(lambda: told[-1].endpoints)
+        assert agent.asked.count("/v1/servers") == 1  # for the changes alone
+        watch.stop()
+        agent.stop()
+    run(scenario())
