Cold workers: turns spread evenly and lost if unused; what isn't served keeps its place

And where all workers were cold, the pace was read from what cold ones serve, and the fleet served a fraction.

Now every attempt that wasn't served keeps its place for a span, at cold workers only (warm ones kept such places for good before: a list that grew). A wait follows the pause both ways; turns are spread over the round by number, place in the few and start, so that a new process falls into the round that was; one that is not used within 0.75 of the span is lost; all turns together come to 0.75 of N. The pace is what is served over the mean warmth, or one core at the briskest answer time, known from the first answer on (with the guesses of classes not seen). Where nothing is known, two in a span by all, one where numbers aren't told. A worker smaller than the mean is held to its size. Nothing of this is reached for a warm worker, but for one comparison when an attempt there wasn't served.

No older test or check was changed.

--- a/micagate/control.py
+++ b/micagate/control.py
@@ -55,7 +55,11 @@
 BRISK_SHARE = 0.2  # of the aim: pooled answer time under which answers are brisk, and silence tells of losses
 YOUNG_SHARE = 0.05  # of the aim: mean age under which what is out is a burst, not a queue
 SPELL, PRIOR = 2.0, 1.0  # seconds of answers pooled where there are fewer, and usual ones mixed in
-SPARE = 1.0  # of the work that a cold worker bears beyond its capacity: what all send by turns (cold guard)
+SHARE = 0.75  # of what the settings let a cold worker be sent: what all send it by turns (cold guard)
+KEPT = 0.75  # of `fall_time`: how long an unused turn at a cold worker lasts (cold guard)
+UNKNOWN, UNTOLD = 2.0, 1.0  # what all send by turns where no pace is known, and where no numbers are told
+AFRESH = 0.1  # of `fall_time`: how long the mean warmth of the workers may be taken for the present one
+SPOKEN = 1.5  # recent answers that a gateway's own pace of them needs to be taken whole (cold guard)
 TOGETHER = 3.0  # attempts at a worker that all gateways together may always have (latecomer and cold guards)
 LOSSY, LOSSIER = 0.3, 4.0  # share of answers that a worker loses, and times what another loses: it loses them
 FAILS = 3  # errors or time-outs in a row that make a worker suspect
@@ -310,8 +314,8 @@
         self.fails = 0
         self.until = 0.0
         self.turn: float | None = None  # when this gateway may next send to it while it is too cold for all
-        self.pause = 0.0
-        self.held: deque[float] = deque()  # ends of the places that time-outs and refusals still hold
+        self.pause = 0.0  # seconds between its turns
+        self.held: deque[float] = deque()  # ends of the places that attempts still hold, but for those served
 
 
 class Fleet:
@@ -335,6 +339,8 @@
         # Where on the ring of workers this gateway's few begin.
         self._place = None if settings.index is None else settings.index / settings.gateways % 1
         self._aim = min(c.aim for c in settings.classes)
+        self._size = 1.0  # the mean of the list
+        self._warmth, self._warmth_at = 1.0, -math.inf  # mean warmth of the usable workers, and as of when
 
     def update(self, now: float, news: i.WorkerList) -> None:
         """Follow the list; a drained or gone worker gets nothing from here on, a restarted one is new."""
@@ -344,6 +350,8 @@
                 worker.usable = worker.usable and name in named
         sizes = [e.size for e in news.entries if e.size > 0] or [1.0]
         mean = sum(sizes) / len(sizes)
+        if news.whole:
+            self._size = mean
         for entry in news.entries:
             known = self.workers.get(entry.worker)
             if known is None or known.entry.started != entry.started:
@@ -356,7 +364,7 @@
         for name in [n for n, w in self.workers.items() if not w.usable and not w.out]:
             del self.workers[name]
         usable = [w for w in self.workers.values() if w.usable]
-        self.serving = len(usable)
+        self.serving, self._warmth_at = len(usable), -math.inf
         few = max(NEAR, math.ceil(TOGETHER * self.serving / self._s.gateways))
         self._near = self._aperture(usable, few) if few < self.serving else usable
 
@@ -430,39 +438,82 @@
             return False  # one trial at a time
         return not self._stalled(now, worker)
 
+    def _warm(self, now: float, worker: Worker) -> float:
+        """The part of its capacity that a worker has by now: from `cold_from` evenly to 1 in `ramp_time`."""
+        started = worker.entry.started
+        if started is None or now - started >= self._s.ramp_time:
+            return 1.0
+        return self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
+
+    def _warm_pace(self, now: float, warm: float, few: int, sharers: float) -> float:
+        """Requests a second of this gateway's that a worker bears once it is warm, as far as can be told.
+
+        What is served, over the warmth of all workers: where all are cold, what each bears is only that part
+        of it. Or one core at the briskest answer time known, since in a jam the rate served says nothing;
+        all gateways that keep to the worker share it. Guards against a pace read from one or two answers:
+        each is right on average, but each gateway takes the higher of the two, and those together are not.
+        Harm: where each gateway sees few answers, cold workers of many cores get less.
+        """
+        if now - self._warmth_at >= AFRESH * self._s.fall_time:
+            usable = [self._warm(now, w) for w in self.workers.values() if w.usable]
+            self._warmth, self._warmth_at = sum(usable) / max(1, len(usable)), now
+        self._fade(now)
+        served = self._done / RECENT / max(1, few) / max(self._warmth, warm, 1e-6)
+        return max(served * min(1.0, self._done / SPOKEN), 1 / self._brisk / sharers)
+
     def _has_room(self, now: float, worker: Worker) -> bool:
-        """The cold guard: a cap on what this gateway has in flight at a worker that started lately.
+        """The cold guard: bounds what all gateways together send to a worker that started lately.
 
         In a span of `fall_time` a worker does its capacity x span, so what may be in flight at most is
-        (factor - 1) x capacity x span; each gateway takes its own share of the rate a warm one serves it,
-        or of one core at the briskest answer time known: in a jam the rate served says nothing. Where each
-        gateway keeps to a few workers, those that keep to this one share it, and the others leave it alone.
+        (factor - 1) x capacity x span; each gateway takes its own share of it. Where each gateway keeps to a
+        few workers, those that keep to this one share it, and the others leave it alone. An attempt that was
+        not served keeps its place for a span: a worker that fails at once would get any number. Where a
+        share is under one, even one each is too much, and the gateways take turns.
         """
         started = worker.entry.started
         if started is None or now - started >= self._s.ramp_time:
             return True
-        warm = self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
-        self._fade(now)
         few = len(self._near)
         if few < self.serving and worker not in self._near:
             return False
         sharers = max(1.0, self._s.gateways * few / max(1, self.serving))
-        rate = self._done / RECENT / max(1, few)
-        cap = (self._s.overload_factor - 1) * warm * rate * self._s.fall_time
-        alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self._brisk / sharers
-        spare = max(SPARE * cap, TOGETHER / sharers, alone)
-        if spare < 1:  # with many gateways even one each is too much: they take turns by chance
-            pause = self._s.fall_time / spare
-            if worker.turn is None:
-                worker.turn = now + pause * self._random.random()
-            elif worker.turn > now:  # what is left follows the pause: it shortens as the worker warms
-                worker.turn = now + (worker.turn - now) * min(1.0, pause / worker.pause)
-            worker.pause = pause
-            if now < worker.turn:
+        small = min(1.0, worker.entry.size / self._size) if worker.entry.size > 0 else 1.0
+        warm = self._warm(now, worker)
+        bears = warm * small * self._warm_pace(now, warm, few, sharers) * self._s.fall_time
+        places = int((self._s.overload_factor - 1) * bears)
+        if not places and sharers > TOGETHER:
+            # Without numbers told chance brings turns together: fewer.
+            least = UNKNOWN if self._s.index is not None else UNTOLD
+            share = max(SHARE * self._s.overload_factor * bears, least / sharers)
+            if not self._has_turn(now, worker, share):
                 return False
         while worker.held and worker.held[0] <= now:
             worker.held.popleft()
-        return len(worker.out) + len(worker.held) < max(1, int(cap))
+        return len(worker.out) + len(worker.held) < max(1, places)
+
+    def _has_turn(self, now: float, worker: Worker, share: float) -> bool:
+        """Whether this gateway has a turn at a cold worker, of which it gets `share` in a `fall_time`.
+
+        All that share a worker begin at places spread evenly over the round, by their numbers and the
+        worker's start, so that new processes fall into the round that was. What is left of a wait follows the
+        pause, up and down: shortened only, it would end too soon wherever the pace known goes up and down.
+        Guards against turns that come together: by chance, or saved up while there was nothing to send, so
+        one that is not used soon is lost. Harm: a gateway with little to send misses turns.
+        """
+        pause, kept = max(1e-6, self._s.fall_time / share), now - KEPT * self._s.fall_time
+        if worker.turn is None:
+            place = self._place if self._place is not None else self._random.random()
+            if len(self._near) < self.serving:  # how far on in the few of this gateway it is
+                place = (self._near.index(worker) - place * self.serving % 1) / len(self._near)
+            place += Random(worker.entry.worker).random()  # or a gateway's turns at all would come together
+            gone = (place + (now - (worker.entry.started or 0.0)) / pause) % 1.0
+            worker.turn = now + pause * (1.0 - gone)
+        elif worker.turn > now:
+            worker.turn = now + (worker.turn - now) * pause / worker.pause
+        elif worker.turn < kept:
+            worker.turn += pause * math.ceil((kept - worker.turn) / pause)
+        worker.pause = pause
+        return now >= worker.turn
 
     def _slow(self, now: float, worker: Worker) -> float:
         """A worker's answer time over the usual; an old judgement fades, so that it is tried again."""
@@ -583,7 +634,7 @@
         worker.out[key] = now
         self._waiting[key] = (now, klass.aim, worker)
         if worker.turn is not None:
-            worker.turn = now + worker.pause * (0.5 + self._random.random())
+            worker.turn = min(worker.turn, now) + worker.pause
 
     def given_up(self, now: float, key: tuple[str, int]) -> None:
         """An attempt is past its aim: it has told of its lateness, and may be lost rather than waiting."""
@@ -641,7 +692,7 @@
         sent = worker.out.pop(key, None) if worker is not None else None
         if worker is None or sent is None:
             return
-        if status in (i.TIMED_OUT, i.FULL, i.UNREACHABLE):
+        if status not in (i.SUCCESS, i.VOID) and self._warm(now, worker) < 1:
             worker.held.append(now + self._s.fall_time)
         if status in (i.CANCELLED, i.VOID):
             return
@@ -662,7 +713,9 @@
             worker.slow += LEARN * (min(10.0, took / max(usual, 1e-6)) - worker.slow)
             worker.learned = now
             self._answers += 1
-            if self._answers >= ENOUGH:
+            if self._answers < ENOUGH:  # classes not seen yet may take longer: their guesses count as well
+                self._brisk = max(max(self.usual(c), self._usual.get(c.name, 0.0)) for c in self._s.classes)
+            else:
                 self._brisk = min(self._brisk, max(self._usual.values()))
         elif status not in (i.FULL, i.SPOILT):  # answers spoilt by chance tell nothing of a worker's health
             worker.fails += 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,8 +1,16 @@
 """The five rules, each on the module alone."""
 
-from drive import Driver, sends, workers
+import heapq
+from bisect import bisect_right
+from collections import Counter
+from random import Random
+from typing import Any
+
+import pytest
+from drive import SETTINGS, Driver, sends, workers
 
 from micagate import interface as i
+from micagate.control import Gateway
 
 
 def test_nothing_lost_at_the_deadline():
@@ -180,3 +188,140 @@
     # Thirty cold ones do a fifth of ten answers a second, in ten seconds 20 requests each; each may
     # be sent twice as much, and is worth using for a part of it.
     assert 300 <= sent <= 2 * 30 * 20
+
+
+def play(gateways: int, count: int, cold: int, way: str = i.SUCCESS, *, told: bool = True, again: float = 0.0,
+         lull: float = 0.0, bears: float = 10.0, asks: float = 3.0, seed: int = 1,
+         **changes: Any) -> tuple[float, float]:
+    """A flood over a fleet on one clock, till the cold workers, which appear after two seconds, are warm.
+
+    A warm worker does `bears` requests a second, one that is cold its part of that, one after another; cold
+    ones answer in the `way` named. From `again` on all gateways are new processes, and until `lull` hardly
+    anything is asked. Gives what reached cold workers in a sliding span, over what makes one fall, at worst;
+    and what was served since, over what the fleet could do.
+    """
+    made = {**SETTINGS, "gateways": gateways, **changes}
+    random, start, span, ramp = Random(seed), 2.0, made["fall_time"], made["ramp_time"]
+    names = [f"w{random.randrange(10 ** 9):09}" for _ in range(count)]
+    young, news = set(names[:cold]), [i.WorkerEntry(n, zone="a") for n in names[cold:]]
+    free, came, served, shots = dict.fromkeys(names, 0.0), {n: [] for n in young}, 0, Counter()
+    heap: list[tuple[float, int, int, int, Any]] = []
+
+    def warmth(at: float) -> float:
+        return made["cold_from"] + (1 - made["cold_from"]) * min(1.0, (at - start) / ramp)
+
+    def fresh(number: int, now: float) -> Gateway:
+        index = number if told else None
+        gateway = Gateway(i.Settings(**{**made, "index": index}), random.randrange(10 ** 9), now)
+        gateway.handle(now, i.WorkerList(tuple(news), whole=True))
+        return gateway
+
+    def push(at: float, number: int, event: Any) -> None:
+        heapq.heappush(heap, (at, len(shots) + random.randrange(10 ** 9), number, life, event))
+
+    life, asked, fleet = 0, 0, [fresh(n, 0.0) for n in range(gateways)]
+    for number in range(gateways):
+        push(random.random() / asks, number, None)
+    changes_due = [(start, False)] + ([(start + again, True)] if again else [])
+    while heap and heap[0][0] < start + ramp:
+        now, _, number, of, event = heapq.heappop(heap)
+        while changes_due and changes_due[0][0] <= now:
+            if changes_due.pop(0)[1]:
+                life, fleet = 1, [fresh(n, now) for n in range(gateways)]
+            else:
+                news += [i.WorkerEntry(n, zone="a", started=start) for n in young]
+                for gateway in fleet:
+                    gateway.handle(now, i.WorkerList(tuple(news), whole=True))
+        if event is None:
+            push(now + random.expovariate(asks), number, None)
+            if start <= now < lull and random.random() > 0.02:
+                continue
+            asked += 1
+            event = i.Request(f"r{asked}", "read", "free", "c", time_left=4.0)
+        elif of != life:
+            continue
+        if isinstance(event, i.Outcome):
+            served += now >= start and event.status == i.SUCCESS
+        for action in fleet[number].handle(now, event):
+            match action:
+                case i.SetTimer(delay, ref):
+                    push(now + delay, number, i.TimerFired(ref))
+                case i.Cancel(name, shot):
+                    push(now, number, i.Outcome(name, shot, "", i.CANCELLED, False, 0.0))
+                case i.Send(name, worker):
+                    shots[number, name] += 1
+                    status, pace = i.SUCCESS, bears
+                    if worker in young:
+                        came[worker].append(now)
+                        status, pace = way, bears * warmth(now)
+                    took = max(0.0, free[worker] - now) + 1 / pace
+                    took = {i.SUCCESS: took, i.TIMED_OUT: 4.0}.get(status, 0.0)
+                    if status == i.SUCCESS and took > 2:
+                        status, took = i.FULL, 0.0
+                    free[worker] = now + took if status == i.SUCCESS else free[worker]
+                    push(now + took, number, i.Outcome(name, shots[number, name] - 1, worker, status,
+                                                       status == i.SUCCESS, took))
+    worst = 0.0
+    for times in came.values():
+        for last, at in enumerate(times):
+            calls = made["overload_factor"] * bears * warmth(at) * span
+            sent = last + 1 - bisect_right(times, at - span)
+            worst = max(worst, sent / (calls + 2 * calls ** 0.5 + 2))
+    return worst, served / (bears * ramp * (count - cold + cold * warmth(start + ramp / 2)))
+
+
+# The second allows a cold worker hardly anything: 0.6 requests in a second at first.
+USUAL = {"cold_from": 0.23, "ramp_time": 8.0, "overload_factor": 2.5, "fall_time": 3.0}
+SHORT = {"overload_factor": 1.5, "bears": 2.0}
+
+
+@pytest.mark.parametrize("way", (i.SUCCESS, i.FAILURE, i.BROKEN, i.FULL, i.TIMED_OUT))
+@pytest.mark.parametrize("gateways, count", ((1, 2), (3, 2), (20, 6)))
+def test_no_cold_worker_falls_under_a_flood_from_all_whatever_it_answers(gateways, count, way):
+    asks = max(2.0, 20.0 * count / gateways)
+    assert play(gateways, count, count, way, asks=asks)[0] <= 1
+    assert play(gateways, count, count // 2, way, asks=asks, bears=2.0, overload_factor=1.5)[0] <= 1
+
+
+@pytest.mark.parametrize("gateways, count, cold, changes", (
+    (30, 20, 20, SHORT), (30, 20, 7, {}), (20, 6, 6, SHORT),
+    (200, 8, 3, {**USUAL, "bears": 2.0, "asks": 1.0}),
+    (200, 8, 8, {**USUAL, "bears": 2.0, "asks": 1.0}), (200, 133, 40, {"ramp_time": 3.0, "bears": 2.0}),
+    (1300, 8, 3, {"ramp_time": 4.0, "bears": 2.0, "asks": 0.25})))
+def test_no_cold_worker_falls_under_what_very_many_gateways_send(gateways, count, cold, changes):
+    assert play(gateways, count, cold, **changes)[0] <= 1
+    assert play(gateways, count, cold, again=1.0, **changes)[0] <= 1  # a herd: no process knows anything
+
+
+@pytest.mark.parametrize("changes", ({"told": False}, {"lull": 8.0}, {"told": False, "again": 2.0}))
+def test_no_cold_worker_falls_where_numbers_are_not_told_or_a_flood_follows_a_lull(changes):
+    for gateways, count in ((3, 2), (30, 20)):
+        assert play(gateways, count, count // 2, **changes)[0] <= 1
+        assert play(gateways, count, count, **USUAL, **changes)[0] <= 1
+
+
+@pytest.mark.parametrize("gateways, count, least", ((1, 2, 0.8), (3, 4, 0.8), (20, 6, 0.6), (30, 20, 0.6)))
+def test_a_fleet_of_which_all_workers_are_cold_serves_most_of_what_it_can(gateways, count, least):
+    assert play(gateways, count, count, asks=20.0 * count / gateways)[1] >= least
+
+
+def test_a_small_cold_worker_is_sent_less_than_one_of_mean_size():
+    def sent(size: float) -> int:
+        d = Driver(0, gateways=1, ramp_time=100.0)
+        both = i.WorkerEntry("w0", size=size, started=0.0), i.WorkerEntry("w1", size=2.0 - size)
+        d.give(i.WorkerList(both, whole=True), after=50.0)
+        for _ in range(60):
+            name, actions = d.ask(after=0.01)
+            d.answer(name, sends(actions)[0], took=0.02, after=0.02)
+        return [worker for _ in range(80) for worker in sends(d.ask()[1])].count("w0")
+
+    assert 1 <= sent(0.25) <= sent(1.0) / 3
+
+
+def test_a_worker_that_is_warm_holds_no_places_for_what_it_did_not_serve():
+    d = Driver(0, max_attempts=1)
+    d.give(workers(2, started=0.0), after=100.0)
+    for _ in range(20):
+        name, actions = d.ask(after=2.0)
+        d.answer(name, sends(actions)[0], i.FULL)
+    assert not any(worker.held for worker in d.gateway.fleet.workers.values())
