--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -152,7 +152,8 @@
     totals = []
     for seed in range(200):
         waits: list[float] = []
-        loop = SimpleNamespace(call_later=lambda delay, call, waits=waits: waits.append(delay))
+        loop = SimpleNamespace(call_later=lambda delay, call, waits=waits: waits.append(delay),
+                               time=lambda waits=waits: sum(waits))
         watch = watching.Discovery(loop, ("127.0.0.1", 9), 0.0, [].append, random=Random(seed))
         for _ in range(calls):
             watch.answered(503, b"", False)
