The chance of first tries follows the cube of aim over price, less what chance adds to a reading

Change: a reading counts as beyond from 1.3 times the quota, and the chance follows the third power.

--- a/micagate/control.py
+++ b/micagate/control.py
@@ -36,9 +36,11 @@
 NEWBORN = 0.75  # of the ceiling's slack: what all gateways may take ahead of it after a start (ours)
 UNSEEN_THIN = 1.0  # the same where the credits of all its gateways together are more than its burst (ours)
 BLIND = 0.45  # least chance that such a customer's try is let in while no reading tells of it (ours)
-BLIND_LEAST = 0.15  # ... and however much goes beyond the quotas
-DEAREST = 0.06  # of the worth let through inside the quotas: what going beyond them may cost (ours)
-TELLING = 10.0  # readings that this figure weighs as much as, before any has come (ours)
+BLIND_LEAST = 0.1  # ... and however much goes beyond the quotas
+DEAREST = 0.045  # of the worth let through inside the quotas: what readings beyond them may cost (ours)
+STEER = 3.0  # power of aim over price that this chance follows: readings overlook a part of the price (ours)
+BY_CHANCE = 1.3  # times the quota: readings of a period up to this are within chance and burst (ours)
+TELLING = 5.0  # readings that the aim weighs as much as, before any has come (ours)
 MEMORY = 0.99  # of what readings told of the price, with each further one (ours)
 THIN_MARGIN = 0.125  # of its quota: a thin customer's reading that shows so much free shows room (ours)
 SOON = 0.1  # of the time between its tries here at full use: one that comes so soon is one of a flood (ours)
@@ -302,10 +304,11 @@
     def told(self, plan: i.Plan, used: float, worth: float) -> None:
         """A reading for something let through here, by its worth: what of it went beyond the quota.
 
-        Of what a customer had let through everywhere, so much went beyond as the reading is over 1. What this
-        gateway sends is a sample of what all send: so is the price that it finds.
+        Of what a customer had let through everywhere, so much went beyond as the reading is over the quota,
+        and over what chance and its burst may add to one period. What this gateway sends is a sample of what
+        all send: so is the price that it finds.
         """
-        beyond = 1 - 1 / max(1.0, used)
+        beyond = 1 - BY_CHANCE / max(BY_CHANCE, used)
         cost = max(0.0, plan.excess_cost - plan.beyond_earns)
         self._inside = MEMORY * self._inside + worth * (1 - beyond)
         self._price = MEMORY * self._price + worth * beyond * cost
@@ -318,7 +321,8 @@
         Guards the price of going beyond against plans and days with many such customers. Harm: calm ones
         are refused with them, and where few go beyond those few go further.
         """
-        return max(BLIND_LEAST, min(1.0, BLIND * DEAREST * self._inside / max(self._price, 1e-9)))
+        chance: float = BLIND * (DEAREST * self._inside / max(self._price, 1e-9)) ** STEER
+        return max(BLIND_LEAST, min(1.0, chance))
 
     def allowed(self, a: Account, units: float, beyond: bool) -> bool:
         """Whether the ceiling has room; what goes beyond the quota leaves half of it to what is inside."""
