--- a/micagate/adapter.py
+++ b/micagate/adapter.py
@@ -37,12 +37,12 @@
     classes = tuple(
         i.RequestClass(name=c["Name"], aim=c["SloUs"] / MICRO, deadline=c["DeadlineUs"] / MICRO,
                        effect=c["Effect"], group=c["Group"], window=c["WindowUs"] / MICRO,
-                       streaming=c["Streaming"], late_worth=c["LateWorth"])
+                       streaming=c["Streaming"], late_worth=c["LateWorth"], worth=c.get("Importance", 1.0))
         for c in facts["Classes"])
     plans = tuple(
         i.Plan(name=p["Name"], rate=p["Refill"], burst=p["MostAtOnce"], at_once=p["AtOnce"],
                ceiling_rate=p["HardRate"], ceiling_depth=p["CapDepth"], ceiling_slack=p["CapSlack"],
-               beyond_earns=p["BeyondEarns"], excess_cost=p["ExcessCost"])
+               beyond_earns=p["BeyondEarns"], excess_cost=p["ExcessCost"], price=p.get("Price", 1.0))
         for p in facts["Plans"])
     return i.Settings(
         classes=classes, plans=plans, gateways=facts["NInstances"], index=facts.get("Index"),
--- a/micagate/control.py
+++ b/micagate/control.py
@@ -35,7 +35,13 @@
 UNSEEN = 0.5  # use taken for granted before the first reading: most customers are calm (ours)
 NEWBORN = 0.75  # of the ceiling's slack: what all gateways may take ahead of it after a start (ours)
 UNSEEN_THIN = 1.0  # the same where the credits of all its gateways together are more than its burst (ours)
-BLIND = 0.4  # least chance that such a customer's try is let in while no reading tells of it (ours)
+BLIND = 0.5  # chance that such a customer's try is let in unread, where going beyond costs as aimed (ours)
+BLIND_LEAST = 0.15  # ... and however much goes beyond the quotas
+DEAREST = 0.06  # of the worth let through inside the quotas: what readings beyond them may cost (ours)
+STEER = 2.0  # power of aim over price that this chance follows: readings overlook a part of the price (ours)
+BY_CHANCE = 1.3  # times the quota: readings of a period up to this are within chance and burst (ours)
+TELLING = 5.0  # readings that the aim weighs as much as, before any has come (ours)
+MEMORY = 0.99  # of what readings told of the price, with each further one (ours)
 THIN_MARGIN = 0.125  # of its quota: a thin customer's reading that shows so much free shows room (ours)
 SOON = 0.1  # of the time between its tries here at full use: one that comes so soon is one of a flood (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
@@ -211,10 +217,16 @@
 
 
 class Quotas:
-    """Stores, metered slices, ceilings and at-once caps of the customers."""
+    """Stores, metered slices, ceilings and at-once caps of the customers, and what going beyond costs.
 
-    def __init__(self, now: float, random: Random) -> None:
+    `worth` is what a usual request earns: the readings' first weight.
+    """
+
+    def __init__(self, now: float, random: Random, worth: float = 1.0) -> None:
         self._born, self._random = now, random
+        # Of the latest readings: the worth of what they show inside the quotas, and the price of the rest.
+        self._inside = TELLING * worth
+        self._price = DEAREST * self._inside
         self._accounts: OrderedDict[tuple[str, str], Account] = OrderedDict()
 
     def account(self, now: float, customer: str, plan: i.Plan, spread: int) -> Account:
@@ -278,19 +290,40 @@
 
         Where a customer comes through so many gateways that each part holds less than a request, every first
         try finds its part full, and those of a customer far beyond its quota are as many as there are
-        gateways, before any reading tells of it. So a part of them is refused, the more the more of its
-        worth is lost on one beyond, and so is a try that comes
+        gateways, before any reading tells of it. So a part of them is refused, and so is a try that comes
         much sooner after the last one than a full use of the quota would bring it here, unless readings show
         room. Guards the workers, and the customer's bill, where what goes beyond costs more than it earns.
         Harm: calm customers' first tries are refused too; theirs mostly come again.
         """
-        loss = min(1.0, a.plan.excess_cost - a.plan.beyond_earns)
-        if not a.thin or loss <= 0:
+        if not a.thin or a.plan.excess_cost <= a.plan.beyond_earns:
             return False
         if not a.readings:
-            return self._random.random() >= 1 - (1 - BLIND) * loss + a.plan.burst / (LEAST * a.spread)
+            return self._random.random() >= self.blind() + a.plan.burst / (LEAST * a.spread)
         return a.room() < 1 and (a.at - a.tried) * a.plan.rate < SOON * a.spread * units
 
+    def told(self, plan: i.Plan, used: float, worth: float) -> None:
+        """A reading for something let through here, by its worth: what of it went beyond the quota.
+
+        Of what a customer had let through everywhere, so much went beyond as the reading is over the quota,
+        and over what chance and its burst may add to one period. What this gateway sends is a sample of what
+        all send: so is the price that it finds.
+        """
+        beyond = 1 - BY_CHANCE / max(BY_CHANCE, used)
+        cost = max(0.0, plan.excess_cost - plan.beyond_earns)
+        self._inside = MEMORY * self._inside + worth * (1 - beyond)
+        self._price = MEMORY * self._price + worth * beyond * cost
+
+    def blind(self) -> float:
+        """The chance of a thin customer's try that no reading tells of, steered by what going beyond costs.
+
+        Who asks for far more than its quota comes through as many gateways as it has requests, and to each as
+        the first one: nothing but how often that turned out to go beyond tells what letting it in costs.
+        Guards the price of going beyond against plans and days with many such customers. Harm: calm ones
+        are refused with them, and where few go beyond those few go further.
+        """
+        chance: float = BLIND * (DEAREST * self._inside / max(self._price, 1e-9)) ** STEER
+        return max(BLIND_LEAST, min(1.0, chance))
+
     def allowed(self, a: Account, units: float, beyond: bool) -> bool:
         """Whether the ceiling has room; what goes beyond the quota leaves half of it to what is inside."""
         if not a.plan.ceiling_rate:
@@ -766,7 +799,8 @@
         self._plans = {p.name: p for p in settings.plans}
         self._random = Random(seed)
         self.throttle = Throttle(now, len(settings.plans))
-        self.quotas = Quotas(now, self._random)
+        prices, worths = [p.price for p in settings.plans], [c.worth for c in settings.classes]
+        self.quotas = Quotas(now, self._random, sum(prices) * sum(worths) / len(prices) / len(worths))
         self.fleet = Fleet(settings, self._random, now)
         self._pending: dict[str, Pending] = {}
         self._out: dict[tuple[str, int], Attempt] = {}
@@ -940,6 +974,9 @@
         attempt.account.out -= 1
         if event.used is not None:
             attempt.account.metered(now, event.used, self._s.meter_period)
+            if pending is not None:
+                plan = attempt.account.plan
+                self.quotas.told(plan, event.used, attempt.klass.worth * plan.price * pending.request.units)
         self.fleet.returned(now, attempt.worker, key, attempt.klass, event.status, event.took)
         if event.status in (i.FULL, i.TIMED_OUT):
             if not attempt.signalled and (event.status == i.FULL or not self.fleet.lossy()):
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """A kind of request: the aim earns its full worth, the deadline ends it."""
+    """A kind of request: the aim earns its full worth, the deadline ends it; a worth is for one unit."""
 
     name: str
     aim: float
@@ -38,9 +38,10 @@
     window: float = 0.0
     streaming: bool = False
     late_worth: float = 0.0
+    worth: float = 1.0
 
     def __post_init__(self) -> None:
-        _check(self, 0.0, ("aim", "deadline", "window", "late_worth"))
+        _check(self, 0.0, ("aim", "deadline", "window", "late_worth", "worth"))
         if self.effect not in EFFECTS:
             raise ValueError(f"RequestClass.effect must be one of {EFFECTS}, not {self.effect!r}")
         if self.group not in GROUPS:
@@ -49,7 +50,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """A plan's quotas, each for one customer over all gateways; a rate or limit of 0 means none."""
+    """A plan's quotas, each for one customer over all gateways; a rate or limit of 0 means none.
+
+    What goes beyond the quota earns `beyond_earns` and costs `excess_cost` of its worth, which `price`
+    multiplies.
+    """
 
     name: str
     rate: float = 0.0
@@ -60,10 +65,11 @@
     ceiling_slack: float = 0.0
     beyond_earns: float = 0.0
     excess_cost: float = 0.0
+    price: float = 1.0
 
     def __post_init__(self) -> None:
         _check(self, 0.0, ("rate", "burst", "at_once", "ceiling_rate", "ceiling_depth", "ceiling_slack",
-                           "beyond_earns", "excess_cost"))
+                           "beyond_earns", "excess_cost", "price"))
 
 
 @dataclass(frozen=True, slots=True)
