--- a/micagate/control.py
+++ b/micagate/control.py
@@ -35,7 +35,12 @@
 UNSEEN = 0.5  # use taken for granted before the first reading: most customers are calm (ours)
 NEWBORN = 0.75  # of the ceiling's slack: what all gateways may take ahead of it after a start (ours)
 UNSEEN_THIN = 1.0  # the same where the credits of all its gateways together are more than its burst (ours)
-BLIND = 0.6  # least chance that such a customer's try is let in while no reading tells of it (ours)
+BLIND = 0.45  # least chance that such a customer's try is let in while no reading tells of it (ours)
+BLIND_LEAST = 0.15  # ... and however much goes beyond the quotas
+DEAREST = 0.06  # of the worth let through inside the quotas: what going beyond them may cost (ours)
+TELLING = 10.0  # readings that this figure weighs as much as, before any has come (ours)
+MEMORY = 0.99  # of what readings told of the price, with each further one (ours)
+THIN_MARGIN = 0.125  # of its quota: a thin customer's reading that shows so much free shows room (ours)
 SOON = 0.1  # of the time between its tries here at full use: one that comes so soon is one of a flood (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
 
@@ -55,7 +60,11 @@
 BRISK_SHARE = 0.2  # of the aim: pooled answer time under which answers are brisk, and silence tells of losses
 YOUNG_SHARE = 0.05  # of the aim: mean age under which what is out is a burst, not a queue
 SPELL, PRIOR = 2.0, 1.0  # seconds of answers pooled where there are fewer, and usual ones mixed in
-SPARE = 1.0  # of the work that a cold worker bears beyond its capacity: what all send by turns (cold guard)
+SHARE = 0.75  # of what the settings let a cold worker be sent: what all send it by turns (cold guard)
+KEPT = 0.75  # of `fall_time`: how long an unused turn at a cold worker lasts (cold guard)
+UNKNOWN, UNTOLD = 2.0, 1.0  # what all send by turns where no pace is known, and where no numbers are told
+AFRESH = 0.1  # of `fall_time`: how long the mean warmth of the workers may be taken for the present one
+SPOKEN = 1.5  # recent answers that a gateway's own pace of them needs to be taken whole (cold guard)
 TOGETHER = 3.0  # attempts at a worker that all gateways together may always have (latecomer and cold guards)
 LOSSY, LOSSIER = 0.3, 4.0  # share of answers that a worker loses, and times what another loses: it loses them
 FAILS = 3  # errors or time-outs in a row that make a worker suspect
@@ -196,15 +205,26 @@
         self.read, self.fresh = now, True
 
     def room(self) -> float:
-        """How sure it is that the quota has room: 1 while the meter shows half in use, 0 from all on."""
-        return min(1.0, max(0.0, 2 * (1 - self.use)))
+        """How sure it is that the quota has room: 1 while the meter shows half in use, 0 from all on.
+
+        A thin customer meets a gateway seldom, and one that the meter shows a little under its quota could
+        use no more of it there than its first request: so less has to be free. Guards customers that use
+        nearly all of their quota, which were refused a third of it. Harm: a reading is old when it counts.
+        """
+        return min(1.0, max(0.0, (1 - self.use) / (THIN_MARGIN if self.thin else 0.5)))
 
 
 class Quotas:
-    """Stores, metered slices, ceilings and at-once caps of the customers."""
+    """Stores, metered slices, ceilings and at-once caps of the customers, and what going beyond costs.
+
+    `worth` is what a usual request earns: the readings' first weight.
+    """
 
-    def __init__(self, now: float, random: Random) -> None:
+    def __init__(self, now: float, random: Random, worth: float = 1.0) -> None:
         self._born, self._random = now, random
+        # Of the latest readings: the worth of what they show inside the quotas, and the price of the rest.
+        self._inside = TELLING * worth
+        self._price = DEAREST * self._inside
         self._accounts: OrderedDict[tuple[str, str], Account] = OrderedDict()
 
     def account(self, now: float, customer: str, plan: i.Plan, spread: int) -> Account:
@@ -270,15 +290,36 @@
         try finds its part full, and those of a customer far beyond its quota are as many as there are
         gateways, before any reading tells of it. So a part of them is refused, and so is a try that comes
         much sooner after the last one than a full use of the quota would bring it here, unless readings show
-        half of the quota free. Guards the workers, and the customer's bill, where what goes beyond costs more
-        than it earns. Harm: calm customers' first tries are refused too; theirs mostly come again.
+        room. Guards the workers, and the customer's bill, where what goes beyond costs more than it earns.
+        Harm: calm customers' first tries are refused too; theirs mostly come again.
         """
         if not a.thin or a.plan.excess_cost <= a.plan.beyond_earns:
             return False
         if not a.readings:
-            return self._random.random() >= BLIND + a.plan.burst / (LEAST * a.spread)
+            return self._random.random() >= self.blind() + a.plan.burst / (LEAST * a.spread)
         return a.room() < 1 and (a.at - a.tried) * a.plan.rate < SOON * a.spread * units
 
+    def told(self, plan: i.Plan, used: float, worth: float) -> None:
+        """A reading for something let through here, by its worth: what of it went beyond the quota.
+
+        Of what a customer had let through everywhere, so much went beyond as the reading is over 1. What this
+        gateway sends is a sample of what all send: so is the price that it finds.
+        """
+        beyond = 1 - 1 / max(1.0, used)
+        cost = max(0.0, plan.excess_cost - plan.beyond_earns)
+        self._inside = MEMORY * self._inside + worth * (1 - beyond)
+        self._price = MEMORY * self._price + worth * beyond * cost
+
+    def blind(self) -> float:
+        """The chance of a thin customer's try that no reading tells of, steered by what going beyond costs.
+
+        Who asks for far more than its quota comes through as many gateways as it has requests, and to each as
+        the first one: nothing but how often that turned out to go beyond tells what letting it in costs.
+        Guards the price of going beyond against plans and days with many such customers. Harm: calm ones
+        are refused with them, and where few go beyond those few go further.
+        """
+        return max(BLIND_LEAST, min(1.0, BLIND * DEAREST * self._inside / max(self._price, 1e-9)))
+
     def allowed(self, a: Account, units: float, beyond: bool) -> bool:
         """Whether the ceiling has room; what goes beyond the quota leaves half of it to what is inside."""
         if not a.plan.ceiling_rate:
@@ -310,8 +351,8 @@
         self.fails = 0
         self.until = 0.0
         self.turn: float | None = None  # when this gateway may next send to it while it is too cold for all
-        self.pause = 0.0
-        self.held: deque[float] = deque()  # ends of the places that time-outs and refusals still hold
+        self.pause = 0.0  # seconds between its turns
+        self.held: deque[float] = deque()  # ends of the places that attempts still hold, but for those served
 
 
 class Fleet:
@@ -335,6 +376,8 @@
         # Where on the ring of workers this gateway's few begin.
         self._place = None if settings.index is None else settings.index / settings.gateways % 1
         self._aim = min(c.aim for c in settings.classes)
+        self._size = 1.0  # the mean of the list
+        self._warmth, self._warmth_at = 1.0, -math.inf  # mean warmth of the usable workers, and as of when
 
     def update(self, now: float, news: i.WorkerList) -> None:
         """Follow the list; a drained or gone worker gets nothing from here on, a restarted one is new."""
@@ -344,6 +387,8 @@
                 worker.usable = worker.usable and name in named
         sizes = [e.size for e in news.entries if e.size > 0] or [1.0]
         mean = sum(sizes) / len(sizes)
+        if news.whole:
+            self._size = mean
         for entry in news.entries:
             known = self.workers.get(entry.worker)
             if known is None or known.entry.started != entry.started:
@@ -356,7 +401,7 @@
         for name in [n for n, w in self.workers.items() if not w.usable and not w.out]:
             del self.workers[name]
         usable = [w for w in self.workers.values() if w.usable]
-        self.serving = len(usable)
+        self.serving, self._warmth_at = len(usable), -math.inf
         few = max(NEAR, math.ceil(TOGETHER * self.serving / self._s.gateways))
         self._near = self._aperture(usable, few) if few < self.serving else usable
 
@@ -430,39 +475,82 @@
             return False  # one trial at a time
         return not self._stalled(now, worker)
 
+    def _warm(self, now: float, worker: Worker) -> float:
+        """The part of its capacity that a worker has by now: from `cold_from` evenly to 1 in `ramp_time`."""
+        started = worker.entry.started
+        if started is None or now - started >= self._s.ramp_time:
+            return 1.0
+        return self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
+
+    def _warm_pace(self, now: float, warm: float, few: int, sharers: float) -> float:
+        """Requests a second of this gateway's that a worker bears once it is warm, as far as can be told.
+
+        What is served, over the warmth of all workers: where all are cold, what each bears is only that part
+        of it. Or one core at the briskest answer time known, since in a jam the rate served says nothing;
+        all gateways that keep to the worker share it. Guards against a pace read from one or two answers:
+        each is right on average, but each gateway takes the higher of the two, and those together are not.
+        Harm: where each gateway sees few answers, cold workers of many cores get less.
+        """
+        if now - self._warmth_at >= AFRESH * self._s.fall_time:
+            usable = [self._warm(now, w) for w in self.workers.values() if w.usable]
+            self._warmth, self._warmth_at = sum(usable) / max(1, len(usable)), now
+        self._fade(now)
+        served = self._done / RECENT / max(1, few) / max(self._warmth, warm, 1e-6)
+        return max(served * min(1.0, self._done / SPOKEN), 1 / self._brisk / sharers)
+
     def _has_room(self, now: float, worker: Worker) -> bool:
-        """The cold guard: a cap on what this gateway has in flight at a worker that started lately.
+        """The cold guard: bounds what all gateways together send to a worker that started lately.
 
         In a span of `fall_time` a worker does its capacity x span, so what may be in flight at most is
-        (factor - 1) x capacity x span; each gateway takes its own share of the rate a warm one serves it,
-        or of one core at the briskest answer time known: in a jam the rate served says nothing. Where each
-        gateway keeps to a few workers, those that keep to this one share it, and the others leave it alone.
+        (factor - 1) x capacity x span; each gateway takes its own share of it. Where each gateway keeps to a
+        few workers, those that keep to this one share it, and the others leave it alone. An attempt that was
+        not served keeps its place for a span: a worker that fails at once would get any number. Where a
+        share is under one, even one each is too much, and the gateways take turns.
         """
         started = worker.entry.started
         if started is None or now - started >= self._s.ramp_time:
             return True
-        warm = self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
-        self._fade(now)
         few = len(self._near)
         if few < self.serving and worker not in self._near:
             return False
         sharers = max(1.0, self._s.gateways * few / max(1, self.serving))
-        rate = self._done / RECENT / max(1, few)
-        cap = (self._s.overload_factor - 1) * warm * rate * self._s.fall_time
-        alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self._brisk / sharers
-        spare = max(SPARE * cap, TOGETHER / sharers, alone)
-        if spare < 1:  # with many gateways even one each is too much: they take turns by chance
-            pause = self._s.fall_time / spare
-            if worker.turn is None:
-                worker.turn = now + pause * self._random.random()
-            elif worker.turn > now:  # what is left follows the pause: it shortens as the worker warms
-                worker.turn = now + (worker.turn - now) * min(1.0, pause / worker.pause)
-            worker.pause = pause
-            if now < worker.turn:
+        small = min(1.0, worker.entry.size / self._size) if worker.entry.size > 0 else 1.0
+        warm = self._warm(now, worker)
+        bears = warm * small * self._warm_pace(now, warm, few, sharers) * self._s.fall_time
+        places = int((self._s.overload_factor - 1) * bears)
+        if not places and sharers > TOGETHER:
+            # Without numbers told chance brings turns together: fewer.
+            least = UNKNOWN if self._s.index is not None else UNTOLD
+            share = max(SHARE * self._s.overload_factor * bears, least / sharers)
+            if not self._has_turn(now, worker, share):
                 return False
         while worker.held and worker.held[0] <= now:
             worker.held.popleft()
-        return len(worker.out) + len(worker.held) < max(1, int(cap))
+        return len(worker.out) + len(worker.held) < max(1, places)
+
+    def _has_turn(self, now: float, worker: Worker, share: float) -> bool:
+        """Whether this gateway has a turn at a cold worker, of which it gets `share` in a `fall_time`.
+
+        All that share a worker begin at places spread evenly over the round, by their numbers and the
+        worker's start, so that new processes fall into the round that was. What is left of a wait follows the
+        pause, up and down: shortened only, it would end too soon wherever the pace known goes up and down.
+        Guards against turns that come together: by chance, or saved up while there was nothing to send, so
+        one that is not used soon is lost. Harm: a gateway with little to send misses turns.
+        """
+        pause, kept = max(1e-6, self._s.fall_time / share), now - KEPT * self._s.fall_time
+        if worker.turn is None:
+            place = self._place if self._place is not None else self._random.random()
+            if len(self._near) < self.serving:  # how far on in the few of this gateway it is
+                place = (self._near.index(worker) - place * self.serving % 1) / len(self._near)
+            place += Random(worker.entry.worker).random()  # or a gateway's turns at all would come together
+            gone = (place + (now - (worker.entry.started or 0.0)) / pause) % 1.0
+            worker.turn = now + pause * (1.0 - gone)
+        elif worker.turn > now:
+            worker.turn = now + (worker.turn - now) * pause / worker.pause
+        elif worker.turn < kept:
+            worker.turn += pause * math.ceil((kept - worker.turn) / pause)
+        worker.pause = pause
+        return now >= worker.turn
 
     def _slow(self, now: float, worker: Worker) -> float:
         """A worker's answer time over the usual; an old judgement fades, so that it is tried again."""
@@ -583,7 +671,7 @@
         worker.out[key] = now
         self._waiting[key] = (now, klass.aim, worker)
         if worker.turn is not None:
-            worker.turn = now + worker.pause * (0.5 + self._random.random())
+            worker.turn = min(worker.turn, now) + worker.pause
 
     def given_up(self, now: float, key: tuple[str, int]) -> None:
         """An attempt is past its aim: it has told of its lateness, and may be lost rather than waiting."""
@@ -641,7 +729,7 @@
         sent = worker.out.pop(key, None) if worker is not None else None
         if worker is None or sent is None:
             return
-        if status in (i.TIMED_OUT, i.FULL, i.UNREACHABLE):
+        if status not in (i.SUCCESS, i.VOID) and self._warm(now, worker) < 1:
             worker.held.append(now + self._s.fall_time)
         if status in (i.CANCELLED, i.VOID):
             return
@@ -662,7 +750,9 @@
             worker.slow += LEARN * (min(10.0, took / max(usual, 1e-6)) - worker.slow)
             worker.learned = now
             self._answers += 1
-            if self._answers >= ENOUGH:
+            if self._answers < ENOUGH:  # classes not seen yet may take longer: their guesses count as well
+                self._brisk = max(max(self.usual(c), self._usual.get(c.name, 0.0)) for c in self._s.classes)
+            else:
                 self._brisk = min(self._brisk, max(self._usual.values()))
         elif status not in (i.FULL, i.SPOILT):  # answers spoilt by chance tell nothing of a worker's health
             worker.fails += 1
@@ -705,7 +795,8 @@
         self._plans = {p.name: p for p in settings.plans}
         self._random = Random(seed)
         self.throttle = Throttle(now, len(settings.plans))
-        self.quotas = Quotas(now, self._random)
+        prices, worths = [p.price for p in settings.plans], [c.worth for c in settings.classes]
+        self.quotas = Quotas(now, self._random, sum(prices) * sum(worths) / len(prices) / len(worths))
         self.fleet = Fleet(settings, self._random, now)
         self._pending: dict[str, Pending] = {}
         self._out: dict[tuple[str, int], Attempt] = {}
@@ -879,6 +970,9 @@
         attempt.account.out -= 1
         if event.used is not None:
             attempt.account.metered(now, event.used, self._s.meter_period)
+            if pending is not None:
+                plan = attempt.account.plan
+                self.quotas.told(plan, event.used, attempt.klass.worth * plan.price * pending.request.units)
         self.fleet.returned(now, attempt.worker, key, attempt.klass, event.status, event.took)
         if event.status in (i.FULL, i.TIMED_OUT):
             if not attempt.signalled and (event.status == i.FULL or not self.fleet.lossy()):
