The look for a client that has left stands in the bridge, where attempts begin

A subclass of the workers, patched after it was made, asked the server by a table of ids kept beside the request that the bridge holds already. The request now names the look itself, and the bridge asks it right before an attempt begins. Behaviour is as before: the six cases of no_further_attempt_begins pass, and fail with the look taken out.

--- a/oliveloft/__main__.py
+++ b/oliveloft/__main__.py
@@ -19,7 +19,8 @@
 from oliveloft.config import Config, ConfigError, load
 from oliveloft.discovery import ASKED, PUSHED, Discovery, News
 from oliveloft.gateway import Bridge
-from oliveloft.server import Attended, Client, Server
+from oliveloft.server import Client, Server
+from oliveloft.workers import Workers
 
 log = logging.getLogger("oliveloft")
 
@@ -42,11 +43,10 @@
     loop = asyncio.get_running_loop()
     room = max(16, config.sockets - RESERVE)
     clients = int(room * CLIENT_SHARE)
-    workers = Attended(loop, room - clients, config.connect_timeout, config.idle_close, config.drain_grace)
+    workers = Workers(loop, room - clients, config.connect_timeout, config.idle_close, config.drain_grace)
     bridge = Bridge(loop, config.settings, Gateway(config.settings, config.seed, loop.time()), workers)
     kept = int(config.sockets * KEPT_SHARE)
     server = Server(loop, config.settings, config.units_top, clients, kept, bridge)
-    workers.present = server.present
     offset = time.time() - loop.time()  # once: a worker's start must be the same in every list
 
     def tell(news: News) -> None:
--- a/oliveloft/gateway.py
+++ b/oliveloft/gateway.py
@@ -23,12 +23,14 @@
 class Request:
     """A client's request until its final reply is out and its attempts have ended."""
 
-    __slots__ = ("event", "head", "body", "deadline", "reply", "attempts", "ended", "out", "timer",
+    __slots__ = ("event", "head", "body", "deadline", "reply", "attempts", "left", "ended", "out", "timer",
                  "timers")
 
     def __init__(self, event: i.Request, head: bytes, body: bytes, deadline: float, reply: Reply) -> None:
         self.event, self.head, self.body, self.deadline = event, head, body, deadline
         self.reply: Reply | None = reply
+        # Whether its client has left, though no event told of it yet; one found so has been told of as such.
+        self.left: Callable[[], bool] | None = None
         self.attempts: list[Attempt] = []
         self.out = 0
         self.ended = False
@@ -150,7 +152,10 @@
             attempt.deadline = now + within
             attempt.timer = self._loop.call_later(within, attempt.give_up, i.TIMED_OUT)
         attempt.latest = min(attempt.deadline, now + latest) if latest > 0 else attempt.deadline
-        self._workers.send(attempt)
+        # Guards workers against what nobody waits for any more: a client that is read no further, or that
+        # left while this process stood still, is looked at right before an attempt begins.
+        if request.left is None or not request.left():
+            self._workers.send(attempt)
 
     def _reported(self, attempt: Attempt, status: str, answer: Answer | None) -> None:
         """An attempt has ended: the first success answers the client, the module hears of each."""
@@ -186,7 +191,7 @@
             reply(status, headers, body)
 
     def _close(self, request: Request) -> None:
-        request.ended, request.reply = True, None
+        request.ended, request.reply, request.left = True, None, None
         self._forget(request)
 
     def _forget(self, request: Request) -> None:
--- a/oliveloft/server.py
+++ b/oliveloft/server.py
@@ -6,16 +6,15 @@
 import logging
 import re
 from collections import deque
-from collections.abc import Callable
 from itertools import islice
-from typing import Any, cast
+from typing import cast
 
 import httptools
 
 from micagate import interface as i
 from oliveloft.gateway import Bridge, Request
 from oliveloft.peek import gone, unread
-from oliveloft.workers import HOP_BY_HOP, MAX_BODY, MAX_HEAD, Attempt, Workers
+from oliveloft.workers import HOP_BY_HOP, MAX_BODY, MAX_HEAD
 
 log = logging.getLogger("oliveloft")
 
@@ -125,7 +124,6 @@
         self._queue.clear()
         current, self._current = self._current, None
         if current is not None:
-            self._server.over(current)
             self._server.bridge.abandon(current)
 
     def pause_writing(self) -> None:
@@ -290,7 +288,7 @@
         request = server.bridge.submit(event, head, b"".join(incoming.body), deadline, self.reply)
         if not request.ended:
             self._current = request
-            server.asked(request, self)
+            request.left = self.look
 
     def _reject(self, status: int, why: str) -> None:
         """A request that was never taken on: the reason goes out, and the connection is closed.
@@ -306,9 +304,7 @@
 
     def reply(self, status: int, headers: bytes, body: bytes) -> None:
         """The final reply to the request on its way."""
-        current, self._current = self._current, None
-        if current is not None:
-            self._server.over(current)
+        self._current = None
         self._busy = False
         transport = self._transport
         if transport is None:
@@ -409,7 +405,6 @@
         self._plans = {p.name.encode() for p in settings.plans}
         self._able = self._retired = False
         self._held: set[Client] = set()  # those that are read no further
-        self._asking: dict[str, Client] = {}  # who waits for a request, by its id
         self._weights: dict[bytes, tuple[float, int]] = {}
 
     def able(self) -> None:
@@ -481,19 +476,6 @@
         if self._held:
             self.loop.call_later(LOOK, self._look)
 
-    def asked(self, request: Request, client: Client) -> None:
-        """A client waits for its request."""
-        self._asking[request.event.request] = client
-
-    def over(self, request: Request) -> None:
-        """It waits no more."""
-        self._asking.pop(request.event.request, None)
-
-    def present(self, request: str) -> bool:
-        """Whether whoever waits for a request is still there; one found to have left is told of at once."""
-        client = self._asking.get(request)
-        return client is None or not client.look()
-
     def left(self, client: Client) -> None:
         """A connection is gone."""
         self._clients.pop(client, None)
@@ -579,20 +561,3 @@
                 or not 1 <= int(spread) <= self._gateways or int(first) >= self._gateways:
             raise BadRequest(400, "X-Weight")
         return float(units), int(spread)
-
-
-class Attended(Workers):
-    """Workers that are sent nothing on behalf of a client that has left.
-
-    The client is looked at right before an attempt begins. Guards against departures that have come but are
-    not read: of a client that is read no further, or behind a moment in which this process stood still.
-    """
-
-    def __init__(self, *args: Any, **how: Any) -> None:
-        super().__init__(*args, **how)
-        self.present: Callable[[str], bool] = lambda request: True
-
-    def send(self, attempt: Attempt) -> None:
-        """Start an attempt, unless nobody waits for it any more; then it is void by now."""
-        if self.present(attempt.request):
-            super().send(attempt)
