One place each tells a customer's part of its quota and whether a worker may be cold

Spread, depth, floor and whether a part is thin were worked out in two places, and so was the test of a worker's start in the cold guard. No decision changes.

--- a/micagate/control.py
+++ b/micagate/control.py
@@ -180,8 +180,8 @@
                  "forecast", "longer", "top", "use", "read", "readings", "fresh", "out", "thin", "tried")
 
     def __init__(self, plan: i.Plan, spread: int, now: float, born: float) -> None:
-        self.plan, self.spread = plan, spread
-        self.depth, self.floor = plan.burst / spread, plan.rate / spread
+        self.plan = plan
+        self.divide(spread)
         self.slice, self.store = self.floor, self.depth
         # An earlier life of this gateway may have spent its share of the ceiling: it fills from this birth,
         # ahead by a part of the slack, or calm customers would wait for seconds for their first request.
@@ -191,10 +191,14 @@
         self.asked = self.forecast = self.longer = self.top = 0.0
         # What is harmless from a few gateways is not from forty: each takes a customer it knows nothing of as
         # calm and grants it credit, and a flood takes all of these before the first reading tells of it.
-        self.thin = LEAST * spread > plan.burst
         self.use, self.read, self.readings, self.fresh = UNSEEN_THIN if self.thin else UNSEEN, now, 0, False
         self.out, self.tried = 0, -math.inf
 
+    def divide(self, spread: int) -> None:
+        """Its quota is shared by so many gateways: this one's part, and whether that is thin."""
+        self.spread, self.depth, self.floor = spread, self.plan.burst / spread, self.plan.rate / spread
+        self.thin = LEAST * spread > self.plan.burst
+
     def metered(self, now: float, used: float, period: float) -> None:
         """A reading of the meter, averaged with those before where the meter's period is short.
 
@@ -249,8 +253,7 @@
         if account is None:
             account = self._accounts[key] = Account(plan, spread, now, self._born)
         elif account.spread != spread:
-            account.spread, account.depth, account.floor = spread, plan.burst / spread, plan.rate / spread
-            account.thin = LEAST * spread > plan.burst
+            account.divide(spread)
         self._accounts.move_to_end(key)
         self._refill(now, account)
         return account
@@ -479,12 +482,17 @@
             return False  # one trial at a time
         return not self._stalled(now, worker)
 
+    def _ramping(self, now: float, worker: Worker) -> bool:
+        """Whether a worker started so lately that it may still be cold."""
+        started = worker.entry.started
+        return started is not None and now - started < self._s.ramp_time
+
     def _warm(self, now: float, worker: Worker) -> float:
         """The part of its capacity that a worker has by now: from `cold_from` evenly to 1 in `ramp_time`."""
-        started = worker.entry.started
-        if started is None or now - started >= self._s.ramp_time:
+        if not self._ramping(now, worker):
             return 1.0
-        return self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
+        age = max(0.0, now - (worker.entry.started or 0.0))
+        return self._s.cold_from + (1 - self._s.cold_from) * age / self._s.ramp_time
 
     def _warm_pace(self, now: float, warm: float, few: int, sharers: float) -> float:
         """Requests a second of this gateway's that a worker bears once it is warm, as far as can be told.
@@ -511,8 +519,7 @@
         not served keeps its place for a span: a worker that fails at once would get any number. Where a
         share is under one, even one each is too much, and the gateways take turns.
         """
-        started = worker.entry.started
-        if started is None or now - started >= self._s.ramp_time:
+        if not self._ramping(now, worker):
             return True
         few = len(self._near)
         if few < self.serving and worker not in self._near:
