The pause before the next call calls itself no more

The case with nothing left to bring forward fell back on a second call of the same function; it now falls through to the usual pause. The same pauses as before.

--- a/oliveloft/discovery.py
+++ b/oliveloft/discovery.py
@@ -298,12 +298,11 @@
         is brought forward, not more. Harm: one call more, of an overbooked discovery.
         """
         left = self._last - self._loop.time()
-        if left >= pause + 2 * SOON:
-            return pause * self._random.uniform(LEAST if pause < longest else LEAST_LONGEST, 1.0)
-        self._last = math.inf
-        if left >= SOON:
-            return self._random.uniform(max(left - SPREAD, SOON / 2), left)
-        return self._delay(pause, longest)
+        if left < pause + 2 * SOON:
+            self._last = math.inf
+            if left >= SOON:
+                return self._random.uniform(max(left - SPREAD, SOON / 2), left)
+        return pause * self._random.uniform(LEAST if pause < longest else LEAST_LONGEST, 1.0)
 
     def _after(self, delay: float, call: Callable[[], None]) -> None:
         if self._timer is not None:
