--- a/tests/stand.py
+++ b/tests/stand.py
@@ -90,6 +90,16 @@
     return script
 
 
+def gated() -> tuple[asyncio.Event, Script]:
+    """An event, and a script that answers with the request's id once it is set."""
+    go = asyncio.Event()
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        await go.wait()
+        await answer(body=request.id.encode())(request, writer)
+    return go, script
+
+
 async def hang(request: Message, writer: asyncio.StreamWriter) -> None:
     """A script that never answers."""
 
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import pytest
-from stand import Worker, answer, hang, run, until
+from stand import Worker, gated, hang, run, until
 
 from micagate import interface as i
 from oliveloft.discovery import News
@@ -125,13 +125,8 @@
 
 def test_the_module_may_fail_a_request_and_its_attempt_still_reports_with_no_second_reply():
     async def scenario():
-        go = asyncio.Event()
-
-        async def late(request, writer):
-            await go.wait()
-            await answer()(request, writer)
-
-        worker = await Worker("w", late).start()
+        go, script = gated()
+        worker = await Worker("w", script).start()
         case = Case(on(i.Request, i.Send("r", "w")))
         case.know(worker)
         case.submit()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,22 +10,12 @@
 import struct
 
 import pytest
-from stand import Client, Worker, answer, run, scene, settled, until
+from stand import Client, Worker, answer, gated, run, scene, settled, until
 
 from oliveloft.__main__ import STILL_COMING
 from oliveloft.server import IDLE, LINGER_BYTES, LOOK, PIPELINE
 
 
-def gated():
-    """An event, and a script that answers once it is set."""
-    go = asyncio.Event()
-
-    async def script(request, writer):
-        await go.wait()
-        await answer(body=request.id.encode())(request, writer)
-    return go, script
-
-
 def leave(client: Client, how: str) -> None:
     """End a client's connection: with a reset, a close or an end of its sending."""
     if how == "reset":
--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -4,7 +4,7 @@
 
 import pytest
 from drive import Driver, sends
-from stand import Worker, answer, run, until
+from stand import Worker, gated, run, until
 from test_bridge import Case, on
 
 from micagate import interface as i
@@ -29,6 +29,17 @@
         return await self.case.loop.create_connection(make, host, port)
 
 
+async def held(*, latest: float = 0.0) -> tuple[Worker, Case, Late]:
+    """A case whose one request waits for its connection to the worker."""
+    worker = await Worker("w").start()
+    case = Case(on(i.Request, i.Send("r", "w", latest=latest)))
+    late = Late(case)
+    case.know(worker)
+    case.submit()
+    await until(lambda: late.asked)
+    return worker, case, late
+
+
 async def settled(case: Case, worker: Worker, *outcomes: tuple[int, str, bool]) -> None:
     """Check that the outcomes have come, that the worker was sent nothing and that nothing is left open."""
     assert case.module.outcomes() == list(outcomes)
@@ -58,13 +69,8 @@
 
 def test_a_client_that_leaves_after_its_request_was_written_ends_no_attempt():
     async def scenario():
-        go = asyncio.Event()
-
-        async def wait(request, writer):
-            await go.wait()
-            await answer()(request, writer)
-
-        worker = await Worker("w", wait).start()
+        go, script = gated()
+        worker = await Worker("w", script).start()
         case = Case(on(i.Request, i.Send("r", "w")))
         case.know(worker)
         request = case.submit()
@@ -81,12 +87,7 @@
     {"status": "draining"}, {"since_ms": 1_700_000_000_000}, {"address": "127.0.0.1:9"}])
 def test_a_worker_that_drains_or_was_replaced_meanwhile_is_sent_nothing(change):
     async def scenario():
-        worker = await Worker("w").start()
-        case = Case(on(i.Request, i.Send("r", "w")))
-        late = Late(case)
-        case.know(worker)
-        case.submit()
-        await until(lambda: late.asked)
+        worker, case, late = await held()
         case.know(worker, **change)
         late.go.set()
         await until(lambda: case.module.outcomes())
@@ -97,12 +98,7 @@
 @pytest.mark.parametrize("end", [i.Refuse("r"), i.Fail("r")])
 def test_a_request_that_the_module_has_ended_meanwhile_is_not_written(end):
     async def scenario():
-        worker = await Worker("w").start()
-        case = Case(on(i.Request, i.Send("r", "w")))
-        late = Late(case)
-        case.know(worker)
-        case.submit()
-        await until(lambda: late.asked)
+        worker, case, late = await held()
         case.module.rules = on(i.TimerFired, end)
         case.bridge._fired(1, "r")
         late.go.set()
@@ -146,12 +142,7 @@
 
 def test_a_connection_that_comes_up_within_the_window_is_written_to():
     async def scenario():
-        worker = await Worker("w").start()
-        case = Case(on(i.Request, i.Send("r", "w", latest=2.0)))
-        late = Late(case)
-        case.know(worker)
-        case.submit()
-        await until(lambda: late.asked)
+        worker, case, late = await held(latest=2.0)
         late.go.set()
         await until(lambda: case.replies)
         assert case.replies == [200] and len(worker.seen) == 1
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -19,6 +19,7 @@
     Worker,
     answer,
     config,
+    gated,
     hang,
     launch,
     run,
@@ -168,13 +169,7 @@
     async def scenario():
         worker = Worker("w", hang)
         async with scene(worker, ends=True) as (gatekeeper, _, client):
-            go = asyncio.Event()
-
-            async def wait(request, writer):
-                await go.wait()
-                await answer()(request, writer)
-
-            worker.script = wait
+            go, worker.script = gated()
             idle = await gatekeeper.client()
             client.send(Client.request("write", timeout="3.0"))
             await until(lambda: len(worker.seen) == 1)
@@ -195,13 +190,7 @@
     async def scenario():
         worker, other = Worker("w", hang), await Worker("v").start()
         async with scene(worker) as (gatekeeper, old, client):
-            go = asyncio.Event()
-
-            async def wait(request, writer):
-                await go.wait()
-                await answer()(request, writer)
-
-            worker.script = wait
+            go, worker.script = gated()
             client.send(Client.request("write", timeout="3.0"))
             await until(lambda: worker.seen)
             new = await Discovery([worker.entry(), other.entry()]).start()
