A shutdown waits for connections that come after the last one closed

Cause: Server.remove_connection set `all_connections_closed` when the last connection closed in a shutdown, and nothing cleared it. For 20 ms after the lame duck period the gateway still accepts connections. If the last old one closed in that time before a new one was registered, close_all found a connection, waited for an event that was already set, and returned.

Change: the event is set exactly while no connection is open; registering one clears it. Connections open at the exit are logged whatever ended the wait, where the old log showed nothing. The program's other two events are set once on conditions that stay true.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -385,6 +385,15 @@
         await wait_until(lambda: any(text in line for line in self.log))
 
 
+def process_state(gateway: GatewayProcess) -> str:
+    """Return the state of the gateway's process: S while it waits, T while stopped, "" once it is gone."""
+    try:
+        with open(f"/proc/{gateway.process.pid}/stat") as file:
+            return file.read().rpartition(")")[2].split()[0].strip("Z")
+    except FileNotFoundError:
+        return ""
+
+
 def gateway_config(
     discovery_port: int,
     known_entries: list[Any] | None = None,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-DOCUMENTS = [ROOT / "README.md", *sorted((ROOT / "docs").glob("*.md"))]
+DOCUMENTS = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
 MAX_KNOWN_RED_TESTS = 3
 
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -13,6 +13,7 @@
 from stand_ins import (
     HttpClient,
     StubWorker,
+    process_state,
     respond_when_released,
     respond_with,
     run_scenario,
@@ -135,12 +136,6 @@
     run_scenario(scenario())
 
 
-def process_state(gateway) -> str:
-    """Return the state of the gateway's process: S (sleeping) while it waits, T while it is stopped."""
-    with open(f"/proc/{gateway.process.pid}/stat") as file:
-        return file.read().rpartition(")")[2].split()[0]
-
-
 @pytest.mark.parametrize("disconnect_kind", ["close", "reset", "half"])
 @pytest.mark.parametrize("request_count", [1, MAX_PIPELINED_REQUESTS + 4])
 def test_no_further_attempt_starts_after_an_unread_disconnect(disconnect_kind, request_count):
--- a/wrenladder/proxy/server.py
+++ b/wrenladder/proxy/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import re
+from contextlib import suppress
 from itertools import islice
 
 from wrenladder.policy.events import Request
@@ -41,7 +42,8 @@
     ) -> None:
         self.loop, self.bridge = loop, bridge
         self.close_after_reply = False  # if set, replies close the connections on which no request is queued
-        self.all_connections_closed: asyncio.Event = asyncio.Event()
+        self._no_connections = asyncio.Event()  # set exactly while no connection is open
+        self._no_connections.set()
         # Above `idle_client_limit` connections with a valid request, the longest idle one is closed.
         self._connection_limit, self._idle_client_limit = connection_limit, idle_client_limit
         self._max_request_units, self._gateway_count = max_request_units, settings.gateway_count
@@ -87,6 +89,7 @@
             else:
                 client.abort()  # the remaining descriptors are for workers and discovery
         self._connections[client] = self._without_valid_request[client] = None
+        self._no_connections.clear()
 
     def record_valid_request(self, client: ClientConnection) -> None:
         """Note that a client has sent a valid request."""
@@ -135,8 +138,8 @@
         self._connections.pop(client, None)
         self._without_valid_request.pop(client, None)
         self._with_valid_request.pop(client, None)
-        if self.close_after_reply and not self._connections:
-            self.all_connections_closed.set()
+        if not self._connections:
+            self._no_connections.set()
 
     def enforce_timeouts(self) -> None:
         """Close connections that have been idle or stalled for too long."""
@@ -150,11 +153,10 @@
         for client in list(self._connections):
             if client.can_close():
                 client.close()
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._no_connections.wait(), timeout)
         if self._connections:
-            try:
-                await asyncio.wait_for(self.all_connections_closed.wait(), timeout)
-            except TimeoutError:
-                log.warning("%d client connections still open at exit", len(self._connections))
+            log.warning("%d client connections still open at exit", len(self._connections))
 
     def parse_request(
         self, incoming: IncomingRequest, path: bytes, query: bytes, now: float
