In a shutdown, every request has its reply before SIGKILL may come

With a longest deadline of 10 s it expected SIGKILL after 10.7 s in place of 3.7 s, with one of 1 s after 3.7 s in place of 1.7 s. And requests kept their own deadlines, so the process could end before them in any case.

Requests still incomplete by then are rejected with 503.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -399,11 +399,17 @@
     known_entries: list[Any] | None = None,
     sockets: int = 256,
     settings_changes: dict[str, dict[str, Any]] | None = None,
+    class_changes: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
-    """Return a gateway configuration; `settings_changes` update the objects of the settings document."""
+    """Return a gateway configuration.
+
+    `settings_changes` update the objects of the settings document, `class_changes` each request class.
+    """
     settings_document = copy.deepcopy(SETTINGS_DOCUMENT)
     for key, values in (settings_changes or {}).items():
         settings_document[key].update(values)
+    for request_class in settings_document["Classes"]:
+        request_class.update(class_changes or {})
     return {
         "name": "g1",
         "listen": "127.0.0.1:0",
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -22,6 +22,7 @@
     Event,
     Outcome,
     Request,
+    ShutdownStarted,
     TimerFired,
     WorkerList,
 )
@@ -193,6 +194,31 @@
     run_scenario(scenario())
 
 
+def test_shutdown_brings_deadlines_forward_and_tells_the_policy():
+    def actions_for(event):
+        return [Send("r", "w")] if isinstance(event, Request) and event.request_id == "r" else []
+
+    async def scenario():
+        harness = BridgeHarness(actions_for)
+        worker = StubWorker("w", never_respond)
+        harness.list_workers(await worker.start())
+        # Only the first request has an attempt in flight, and the third comes in the shutdown.
+        requests = [harness.submit("r"), harness.submit("early", time_left=0.05)]
+        await wait_until(lambda: worker.requests)
+        latest = harness.loop.time() + 0.1
+        harness.bridge.limit_deadlines(latest)
+        (event,) = [e for e in harness.policy.events if isinstance(e, ShutdownStarted)]
+        assert 0 <= event.time_left <= 0.1
+        requests.append(harness.submit("late"))
+        assert requests[0].deadline == requests[2].deadline == latest and requests[1].deadline < latest
+        assert requests[0].attempts[0].deadline == requests[0].attempts[0].write_deadline == latest
+        await wait_until(lambda: len(harness.replies) == 3)
+        assert harness.replies == [504] * 3
+        assert harness.policy.outcomes() == [(0, TIMED_OUT, False)]
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("event_type", [Request, Outcome, TimerFired])
 def test_exception_in_policy_fails_only_the_request_concerned(event_type, caplog):
     async def scenario():
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -6,10 +6,12 @@
 import asyncio
 import signal
 
+import pytest
 from stand_ins import (
     GatewayProcess,
     HttpClient,
     StubWorker,
+    never_respond,
     process_state,
     respond_when_released,
     run_scenario,
@@ -17,7 +19,14 @@
     wait_until,
 )
 
-from wrenladder.proxy.__main__ import LAME_DUCK_PERIOD
+from wrenladder.proxy.shutdown import LAME_DUCK_PERIOD, ShutdownTiming
+
+# In seconds. After SIGTERM, SIGKILL comes no earlier than the longest deadline (at most this) plus a delay. A
+# process may be stalled, here once when the signal comes and once at the end.
+SIGKILL_DELAY, MAX_LONGEST_DEADLINE, MAX_STALL = 0.7, 3.0, 0.15
+# Options of `running_gateway`: the deadline of all request classes.
+LONG_DEADLINE = {"expect_exit": True, "class_changes": {"DeadlineUs": 10_000_000}}
+SHORT_DEADLINE = {"expect_exit": True, "class_changes": {"DeadlineUs": 1_000_000}}
 
 
 async def wait_until_not_listening(gateway: GatewayProcess) -> None:
@@ -74,3 +83,49 @@
             pass  # repeated if it was stopped too late, which happens on a very busy machine
 
     run_scenario(scenario())
+
+
+# Guards against replies that come only after SIGKILL: a longest deadline above 3 s was counted in full.
+@pytest.mark.parametrize("longest_deadline", [0.2, 1.0, 3.0, 3.1, 10.0, 60.0])
+def test_reply_deadline_leaves_time_for_stalls_before_sigkill(longest_deadline):
+    signal_time = 100.0
+    earliest_sigkill = signal_time + min(MAX_LONGEST_DEADLINE, longest_deadline) + SIGKILL_DELAY
+    timing = ShutdownTiming.after_signal(signal_time, [0.1, longest_deadline])
+    assert timing.reply_deadline + 2 * MAX_STALL < earliest_sigkill
+    assert timing.reply_deadline < timing.exit_deadline < earliest_sigkill
+
+
+# Guards against requests that come late in a shutdown, and that their worker still has when SIGKILL comes.
+def test_late_request_at_an_unresponsive_worker_is_answered_before_sigkill_may_come():
+    async def scenario():
+        worker = StubWorker("w", never_respond)
+        async with running_gateway(worker, **LONG_DEADLINE) as (gateway, _, client):
+            idle_client = await gateway.connect()
+            request = HttpClient.request_bytes("write", timeout="10.0", body=b"body")
+            client.send(request[:-1])
+            gateway.process.send_signal(signal.SIGTERM)
+            assert await idle_client.is_closed_by_gateway()  # the lame duck period is over
+            client.send(request[-1:])
+            reply = await client.receive()  # the worker may have run the request
+            assert reply is not None and reply.status in (502, 504)
+            (forwarded,) = worker.requests
+            assert float(forwarded.headers["x-timeout"]) < MAX_LONGEST_DEADLINE + SIGKILL_DELAY
+            assert await gateway.process.wait() == 0
+
+    run_scenario(scenario())
+
+
+# Guards against requests that become complete so late in a shutdown that there is no time left to reply.
+def test_request_still_incomplete_at_the_reply_deadline_is_refused():
+    async def scenario():
+        worker = StubWorker("w")
+        async with running_gateway(worker, **SHORT_DEADLINE) as (gateway, _, client):
+            client.send(HttpClient.request_bytes("write", body=b"body")[:-1])
+            gateway.process.send_signal(signal.SIGTERM)
+            reply = await client.receive()
+            assert reply is not None and reply.status == 503 and reply.headers["connection"] == "close"
+            client.writer.close()
+            assert await gateway.process.wait() == 0
+            assert not worker.requests
+
+    run_scenario(scenario())
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -1,5 +1,6 @@
 """Property-based tests: the policy's rules hold for random valid sequences of events."""
 
+import math
 from typing import Any
 
 from hypothesis import given
@@ -21,6 +22,7 @@
     UNREACHABLE,
     Abandoned,
     Event,
+    ShutdownStarted,
     WorkerEntry,
     WorkerList,
 )
@@ -29,7 +31,19 @@
 STATUSES = [SUCCESS, FAILURE, OVERLOADED, TIMED_OUT, UNREACHABLE, CONNECTION_LOST]
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["submit", "submit", "submit", "finish", "finish", "list_worker", "wait", "abandon"]),
+        st.sampled_from(
+            [
+                "submit",
+                "submit",
+                "submit",
+                "finish",
+                "finish",
+                "list_worker",
+                "wait",
+                "abandon",
+                "shut_down",
+            ]
+        ),
         st.integers(0, 10**6),
     ),
     min_size=5,
@@ -47,6 +61,7 @@
         self.worker_states: dict[str, str] = {f"w{n}": HEALTHY for n in range(6)}
         self.worker_start_times: dict[str, float] = {}
         self.ceiling_usage: list[tuple[float, float]] = []
+        self.shutdown_deadline = math.inf  # of all requests
         self.concurrent_attempts = settings_changes.get("concurrent_attempts", True)
         super().__init__(**settings_changes)
 
@@ -108,7 +123,7 @@
             self.pending_requests[request_id] = {
                 "effect": CLASS_EFFECTS[request_class],
                 "attempts": [],
-                "deadline": self.now + time_left,
+                "deadline": min(self.now + time_left, self.shutdown_deadline),
                 "plan": plan,
                 "units": units,
             }
@@ -149,6 +164,12 @@
             )
         elif kind == "wait":
             self.advance(number % 900 / 1000)
+        elif kind == "shut_down" and self.shutdown_deadline == math.inf:
+            time_left = number % 3000 / 1000
+            self.shutdown_deadline = self.now + time_left
+            for request in self.pending_requests.values():
+                request["deadline"] = min(request["deadline"], self.shutdown_deadline)
+            self.handle(ShutdownStarted(time_left))
         elif kind == "abandon" and self.pending_requests:
             request_id = list(self.pending_requests)[number % len(self.pending_requests)]
             del self.pending_requests[request_id]
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -22,9 +22,9 @@
     wait_until_reusable,
 )
 
-from wrenladder.proxy.__main__ import LAME_DUCK_PERIOD
 from wrenladder.proxy.client_connection import IDLE_TIMEOUT, MAX_LINGER_BYTES, MAX_PIPELINED_REQUESTS
 from wrenladder.proxy.server import DISCONNECT_POLL_INTERVAL
+from wrenladder.proxy.shutdown import LAME_DUCK_PERIOD
 
 
 def disconnect(client: HttpClient, disconnect_kind: str) -> None:
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -23,6 +23,7 @@
     Abandoned,
     Outcome,
     Request,
+    ShutdownStarted,
     TimerFired,
     WorkerEntry,
     WorkerList,
@@ -49,6 +50,35 @@
     ) == [Fail(request_id)]
 
 
+def test_shutdown_brings_deadlines_forward():
+    driver = PolicyDriver()
+    request_id, _ = driver.submit("write", time_left=4.0)
+    early_id, _ = driver.submit("write", time_left=1.5)
+    assert driver.handle(ShutdownStarted(2.0)) == []
+    late_id, _ = driver.submit("write", time_left=4.0)
+    assert driver.advance(1.9) == [Fail(early_id)]  # at its own deadline, which is earlier
+    assert driver.advance(0.1) == [Fail(request_id), Fail(late_id)]
+    refused_id, actions = driver.submit("write", time_left=4.0)
+    assert actions == [Refuse(refused_id)]  # there is no time left
+
+
+def test_shutdown_refuses_at_the_deadline_what_never_ran():
+    driver = PolicyDriver()
+    request_id, actions = driver.submit("write", time_left=4.0)
+    driver.handle(ShutdownStarted(2.0))
+    # The worker's refusal comes when less than a time step is left, so that there is no retry.
+    (action,) = driver.finish_attempt(request_id, workers_sent_to(actions)[0], OVERLOADED, delay=1.9995)
+    assert isinstance(action, Refuse) and action.request_id == request_id
+
+
+def test_client_retry_in_a_shutdown_is_not_taken_for_a_late_one():
+    driver = PolicyDriver()
+    driver.submit("read", time_left=4.0)
+    driver.handle(ShutdownStarted(2.0))
+    retry = Request("retry", "read", "free", "c", 4.0, is_retry=True)
+    assert workers_sent_to(driver.handle(retry))
+
+
 def test_abandoned_request_gets_no_retry_and_no_reply():
     driver = PolicyDriver()
     request_id, actions = driver.submit()
--- a/wrenladder/policy/events.py
+++ b/wrenladder/policy/events.py
@@ -148,4 +148,18 @@
     request_id: str
 
 
-Event = WorkerList | Request | Outcome | StreamStarted | TimerFired | Abandoned
+@dataclass(frozen=True, slots=True)
+class ShutdownStarted:
+    """The gateway shuts down: all requests, present or later, must end in `time_left` seconds.
+
+    Raises:
+        ValueError: `time_left` is out of range.
+    """
+
+    time_left: float
+
+    def __post_init__(self) -> None:
+        check_at_least(self, 0.0, ("time_left",))
+
+
+Event = WorkerList | Request | Outcome | StreamStarted | TimerFired | Abandoned | ShutdownStarted
--- a/wrenladder/policy/request_lifecycle.py
+++ b/wrenladder/policy/request_lifecycle.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from random import Random
 
@@ -20,6 +21,7 @@
     Event,
     Outcome,
     Request,
+    ShutdownStarted,
     StreamStarted,
     TimerFired,
     WorkerEntry,
@@ -115,6 +117,7 @@
             c.name: deque[float](maxlen=INITIAL_TIMEOUT_SAMPLES) for c in settings.classes
         }
         self._retry_budget = MAX_RETRY_BUDGET
+        self._latest_deadline = math.inf  # no request may be pending for longer; finite in a shutdown
         self._subscribed = not settings.must_subscribe
         self._actions: list[Action] = []
 
@@ -137,6 +140,8 @@
                 self._handle_stream_started(now, request_id, attempt_number, event.duration)
             case Abandoned(request_id):
                 self._forget(request_id)
+            case ShutdownStarted(time_left):
+                self._limit_deadlines(now, time_left)
         return self._actions
 
     def _handle_worker_list(self, now: float, event: WorkerList) -> None:
@@ -152,12 +157,13 @@
 
     def _handle_request(self, now: float, event: Request) -> None:
         request_class, plan = self._classes.get(event.request_class), self._plans.get(event.plan)
-        if request_class is None or plan is None or event.time_left <= self._settings.time_step:
+        time_left = min(event.time_left, self._latest_deadline - now)
+        if request_class is None or plan is None or time_left <= self._settings.time_step:
             self._actions.append(Refuse(event.request_id, 0.0))
             return
         account = self.quotas.account(now, event.customer, plan, event.customer_gateway_count)
         account.requested_units += event.units
-        pending = PendingRequest(event, request_class, account, now + event.time_left)
+        pending = PendingRequest(event, request_class, account, now + time_left)
         pending.within_quota = self.quotas.is_within_quota(account, event.units, self.throttle.control_active)
         if not event.is_retry:
             self._initial_timeouts[request_class.name].append(event.time_left)
@@ -183,10 +189,22 @@
         self.quotas.consume(account, event.units, pending.within_quota)
         self._pending[event.request_id] = pending
         self._send(now, pending, worker)
+        self._set_deadline_timer(pending, time_left)
+
+    def _set_deadline_timer(self, pending: PendingRequest, time_left: float) -> None:
         pending.deadline_timer = self._set_timer(
-            event.time_left - self._settings.time_step, "deadline", event.request_id, 0
+            time_left - self._settings.time_step, "deadline", pending.request.request_id, 0
         )
 
+    def _limit_deadlines(self, now: float, time_left: float) -> None:
+        """Bring the deadlines of all requests, present or later, forward to `time_left` seconds from now."""
+        latest = self._latest_deadline = now + time_left
+        for pending in self._pending.values():
+            if pending.deadline > latest:
+                pending.deadline = latest
+                self._timers.pop(pending.deadline_timer, None)
+                self._set_deadline_timer(pending, time_left)
+
     def _is_late_retry(self, request_class: RequestClass, time_left: float) -> bool:
         """Whether a client retry has certainly missed its latency target, so that serving it earns nothing.
 
--- a/wrenladder/proxy/__main__.py
+++ b/wrenladder/proxy/__main__.py
@@ -23,19 +23,14 @@
 from wrenladder.proxy.discovery_timing import LOCAL_AGENT_TIMING, SHARED_SERVICE_TIMING
 from wrenladder.proxy.discovery_watch import DiscoveryWatch
 from wrenladder.proxy.server import Server
+from wrenladder.proxy.shutdown import ShutdownTiming
 from wrenladder.proxy.worker_pool import WorkerPool
 
 log = logging.getLogger("wrenladder")
 
 # All times are in seconds.
 FIRST_RESPONSE_TIMEOUT = 0.5  # wait for discovery's first response before listening
-LAME_DUCK_PERIOD = 0.5  # after SIGTERM, with new connections accepted: the front end sends some for up to 0.4
-ACCEPT_GRACE = 0.02  # after that, for a stalled event loop to accept what had come by then
-# After a SIGTERM comes a SIGKILL, this delay plus the longest deadline later. A longest deadline below
-# MIN_LONGEST_DEADLINE counts as that.
-SIGKILL_DELAY = 0.7
-MIN_LONGEST_DEADLINE = 3.0
-EXIT_MARGIN = 0.1  # the process ends by itself this long before the SIGKILL
+ACCEPT_GRACE = 0.02  # after the lame duck period, for a stalled event loop to accept what had come by then
 MAX_SWEEP_INTERVAL = 0.25  # between searches for connections that have timed out
 MIN_SWEEP_INTERVAL = 0.02
 SWEEP_IDLE_SHARE = 0.1  # sweep interval as a share of the workers' idle timeout, within the bounds above
@@ -145,20 +140,17 @@
     )
     loop.call_later(sweep_interval, sweep)
     await stop.wait()
-    sigkill_time = (
-        loop.time()
-        + max(MIN_LONGEST_DEADLINE, *(c.deadline for c in config.settings.classes))
-        + SIGKILL_DELAY
-    )
+    timing = ShutdownTiming.after_signal(loop.time(), (c.deadline for c in config.settings.classes))
     log.info("stopping")
     server.enter_lame_duck()
-    await asyncio.sleep(LAME_DUCK_PERIOD)
+    bridge.limit_deadlines(timing.reply_deadline)
+    await asyncio.sleep(timing.lame_duck_end - loop.time())
     server.close_after_reply = True
     # The loop runs timers before sockets: without this pause a stalled loop would reset the backlog.
     await asyncio.sleep(ACCEPT_GRACE)
     listener.close()
     await asyncio.sleep(0)  # lets the connections accepted last register with the server
-    await server.close_all(sigkill_time - EXIT_MARGIN - loop.time())
+    await server.close_all(timing.reply_deadline, timing.exit_deadline)
     discovery_watch.stop()
     # The end of the loop restores the default handlers, with which a late signal would kill the process.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
--- a/wrenladder/proxy/attempt.py
+++ b/wrenladder/proxy/attempt.py
@@ -94,6 +94,11 @@
         if not self.written:
             self.abort(NOT_SENT)
 
+    def limit_deadline(self, latest: float) -> None:
+        """Bring the attempt's deadlines forward to `latest`, in seconds on the event loop's clock."""
+        self.deadline = min(self.deadline, latest)
+        self.write_deadline = min(self.write_deadline, latest)
+
     def request_bytes(self, now: float) -> bytes:
         """The request as sent to the worker; X-Timeout states the remaining time, at least `MIN_TIMEOUT`."""
         return b"%bX-Timeout: %.3f\r\n\r\n%b" % (self.head, max(MIN_TIMEOUT, self.deadline - now), self.body)
--- a/wrenladder/proxy/bridge.py
+++ b/wrenladder/proxy/bridge.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -21,6 +22,7 @@
     Event,
     Outcome,
     Request,
+    ShutdownStarted,
     TimerFired,
     WorkerList,
 )
@@ -77,6 +79,7 @@
         self._requests: dict[str, ProxiedRequest] = {}  # by id
         self._event_queue: deque[tuple[Event, str]] = deque()  # with the id of the request concerned, or ""
         self._dispatching = False
+        self._latest_deadline = math.inf  # of all requests; finite in a shutdown
 
     def has_request(self, request_id: str) -> bool:
         """Whether a request with this id has no final reply yet, or an attempt of it is still in flight."""
@@ -86,6 +89,7 @@
         self, event: Request, head: bytes, body: bytes, deadline: float, reply: ReplyCallback
     ) -> ProxiedRequest:
         """Accept a request; `reply` is called once unless the request is abandoned before."""
+        deadline = min(deadline, self._latest_deadline)
         request = self._requests[event.request_id] = ProxiedRequest(event, head, body, deadline, reply)
         request.deadline_timer = self._loop.call_at(deadline, self._deadline_reached, request)
         self._dispatch(event, event.request_id)
@@ -98,6 +102,23 @@
             self._dispatch(Abandoned(request.event.request_id), request.event.request_id)
             self._abort_unwritten(request)
 
+    def limit_deadlines(self, latest: float) -> None:
+        """Give every request, present or later, its final reply by `latest` (event loop time in seconds)."""
+        self._latest_deadline = latest
+        for request in self._requests.values():
+            self._limit_deadline(request, latest)
+        self._dispatch(ShutdownStarted(max(0.0, latest - self._loop.time())), "")
+
+    def _limit_deadline(self, request: ProxiedRequest, latest: float) -> None:
+        if request.deadline <= latest:
+            return
+        request.deadline = latest
+        for attempt in request.attempts:
+            attempt.limit_deadline(latest)
+        if request.deadline_timer is not None:
+            request.deadline_timer.cancel()
+        request.deadline_timer = self._loop.call_at(latest, self._deadline_reached, request)
+
     def _abort_unwritten(self, request: ProxiedRequest) -> None:
         """Abort those attempts of an ended request that are not written yet.
 
--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -284,6 +284,11 @@
         self._queue.append(incoming)
         self._start_next()
 
+    def reject_incomplete_request(self) -> None:
+        """Reject a request that is still being received, since the gateway is about to exit."""
+        if self._incoming is not None and not self._serving:
+            self._reject_incoming(503, "shutting down")
+
     def _start_next(self) -> None:
         """Start the next queued request, unless one is being served."""
         while (
--- a/wrenladder/proxy/server.py
+++ b/wrenladder/proxy/server.py
@@ -147,16 +147,31 @@
         for client in list(self._connections):
             client.enforce_timeouts(now)
 
-    async def close_all(self, timeout: float) -> None:
-        """Close idle connections, and all others with their last replies; wait until none is open."""
+    async def close_all(self, reply_deadline: float, exit_deadline: float) -> None:
+        """Close idle connections, and all others with their last replies; wait until none is open.
+
+        Requests that are still incomplete at `reply_deadline` are rejected. At `exit_deadline` the wait ends,
+        whatever is open. Both are in seconds on the event loop's clock.
+        """
         self.close_after_reply = True
+        self._close_idle()
+        await self._wait_until_closed(reply_deadline)
+        for client in list(self._connections):
+            client.reject_incomplete_request()
+        self._close_idle()
+        await self._wait_until_closed(exit_deadline)
+        if self._connections:
+            log.warning("%d client connections still open at exit", len(self._connections))
+
+    def _close_idle(self) -> None:
         for client in list(self._connections):
             if client.can_close():
                 client.close()
+
+    async def _wait_until_closed(self, end: float) -> None:
+        """Wait until no connection is open, or until `end` on the event loop's clock."""
         with suppress(TimeoutError):
-            await asyncio.wait_for(self._no_connections.wait(), timeout)
-        if self._connections:
-            log.warning("%d client connections still open at exit", len(self._connections))
+            await asyncio.wait_for(self._no_connections.wait(), end - self.loop.time())
 
     def parse_request(
         self, incoming: IncomingRequest, path: bytes, query: bytes, now: float
