serve becomes GatewayService, and the shutdown's tests stand in one file

Cause: proxy/__main__.py held one function of 110 lines that built all parts, read the initial list, reloaded, swept and shut down, with nested functions for callbacks. The tests of the shutdown were spread over two files, and the wait for the lame duck period stood in two of them.

Change: proxy/service.py holds GatewayService with a method for each step; __main__.py keeps the process's limits and its exit status. The steps and their order are as before. No assertion was taken out.

--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable, Callable
 
 import pytest
 from stand_ins import (
@@ -14,6 +15,7 @@
     never_respond,
     process_state,
     respond_when_released,
+    respond_with,
     run_scenario,
     running_gateway,
     wait_until,
@@ -52,36 +54,142 @@
     return loop.time() - started_at < LAME_DUCK_PERIOD / 2
 
 
+def run_stopped_in_lame_duck_period(
+    scenario: Callable[[GatewayProcess, StubWorker, HttpClient], Awaitable[None]],
+) -> None:
+    """Send SIGTERM to a gateway with one client, stop it in its lame duck period and run the scenario.
+
+    This is repeated if the gateway was stopped too late, which happens on a very busy machine.
+    """
+
+    async def stopped_in_time() -> bool:
+        worker = StubWorker("w")
+        async with running_gateway(worker, expect_exit=True) as (gateway, _, client):
+            assert (await client.exchange("write")).status == 200
+            if await stop_in_lame_duck_period(gateway):
+                await scenario(gateway, worker, client)
+                assert await gateway.process.wait() == 0
+                return True
+            gateway.process.send_signal(signal.SIGCONT)
+            await gateway.process.wait()
+            return False
+
+    async def repeat() -> None:
+        while not await stopped_in_time():
+            pass
+
+    run_scenario(repeat())
+
+
+async def continue_after_lame_duck_period(gateway: GatewayProcess) -> None:
+    """Let a stopped gateway continue once its lame duck period is over."""
+    await asyncio.sleep(LAME_DUCK_PERIOD + 0.1)
+    gateway.process.send_signal(signal.SIGCONT)
+
+
+def test_drain_answers_requests_that_arrive_as_it_closes_connections():
+    async def scenario(gateway, worker, client):
+        client.send(HttpClient.request_bytes("write"))  # on an idle connection
+        new_client = await gateway.connect()  # and on one in the listen backlog
+        new_client.send(HttpClient.request_bytes("write"))
+        await continue_after_lame_duck_period(gateway)
+        for each_client in (client, new_client):
+            reply = await each_client.receive()
+            assert reply is not None and reply.status == 200 and reply.headers["connection"] == "close"
+
+    run_stopped_in_lame_duck_period(scenario)
+
+
 # Guards against an exit with a request in flight, after all earlier connections had been closed.
 def test_request_accepted_after_the_last_client_left_is_answered_before_the_exit():
-    async def stopped_in_time_and_answered() -> bool:
+    async def scenario(gateway, worker, idle_client):
+        released, worker.script = respond_when_released()
+        worker.requests.clear()
+        idle_socket = idle_client.writer.get_extra_info("socket")
+        idle_client.writer.transport.abort()
+        await wait_until(lambda: idle_socket.fileno() < 0)  # closed before the next client connects
+        new_client = await gateway.connect()  # it waits in the listen backlog
+        new_client.send(HttpClient.request_bytes("write", timeout="3.9", request_id="late"))
+        await continue_after_lame_duck_period(gateway)
+        await wait_until(lambda: worker.requests)
+        await wait_until_not_listening(gateway)
+        # Now the gateway either waits for its last connection, or ends too early.
+        await wait_until(lambda: process_state(gateway) in ("S", ""))
+        released.set()
+        reply = await new_client.receive()
+        assert reply is not None and (reply.status, reply.body) == (200, b"late"), gateway.log
+
+    run_stopped_in_lame_duck_period(scenario)
+
+
+def test_sigterm_finishes_requests_accepts_new_ones_and_exits_cleanly():
+    async def scenario():
+        worker = StubWorker("w", never_respond)
+        async with running_gateway(worker, expect_exit=True) as (gateway, _, client):
+            released, worker.script = respond_when_released()
+            idle_client = await gateway.connect()
+            client.send(HttpClient.request_bytes("write", timeout="3.0"))
+            await wait_until(lambda: len(worker.requests) == 1)
+            worker.script = respond_with()
+            gateway.process.send_signal(signal.SIGTERM)
+            await gateway.wait_for_log("stopping")
+            assert await gateway.health_status() == 503
+            assert (await (await gateway.connect()).exchange("write")).status == 200
+            assert await idle_client.is_closed_by_gateway()
+            released.set()
+            reply = await client.receive()
+            assert (
+                reply.status == 200
+                and reply.headers["connection"] == "close"
+                and await client.is_closed_by_gateway()
+            )
+            assert await gateway.process.wait() == 0
+
+    run_scenario(scenario())
+
+
+def test_drain_answers_all_pipelined_requests():
+    async def scenario():
         released, script = respond_when_released()
         worker = StubWorker("w", script)
-        async with running_gateway(worker, expect_exit=True) as (gateway, _, idle_client):
-            if not await stop_in_lame_duck_period(gateway):
-                gateway.process.send_signal(signal.SIGCONT)
-                await gateway.process.wait()
-                return False
-            idle_socket = idle_client.writer.get_extra_info("socket")
-            idle_client.writer.transport.abort()
-            await wait_until(lambda: idle_socket.fileno() < 0)  # closed before the next client connects
-            new_client = await gateway.connect()  # it waits in the listen backlog
-            new_client.send(HttpClient.request_bytes("write", timeout="3.9", request_id="late"))
-            await asyncio.sleep(LAME_DUCK_PERIOD + 0.1)  # the lame duck period is over when it continues
-            gateway.process.send_signal(signal.SIGCONT)
+        async with running_gateway(worker, expect_exit=True) as (gateway, _, client):
+            client.send(
+                b"".join(
+                    HttpClient.request_bytes("write", request_id=f"p{n}", timeout="3.9") for n in range(3)
+                )
+            )
             await wait_until(lambda: worker.requests)
-            await wait_until_not_listening(gateway)
-            # Now the gateway either waits for its last connection, or ends too early.
-            await wait_until(lambda: process_state(gateway) in ("S", ""))
+            idle_client = await gateway.connect()
+            gateway.process.send_signal(signal.SIGTERM)
+            # Idle connections are closed, so from now on the last reply on each connection closes it.
+            assert await idle_client.is_closed_by_gateway()
             released.set()
-            reply = await new_client.receive()
-            assert reply is not None and (reply.status, reply.body) == (200, b"late"), gateway.log
-            assert await gateway.process.wait() == 0
-            return True
+            replies = [await client.receive() for _ in range(3)]
+            assert [reply.body for reply in replies] == [b"p0", b"p1", b"p2"]
+            assert [reply.headers.get("connection") for reply in replies] == [None, None, "close"]
+            assert await client.is_closed_by_gateway() and await gateway.process.wait() == 0
 
+    run_scenario(scenario())
+
+
+def test_further_signals_during_a_drain_have_no_effect():
     async def scenario():
-        while not await stopped_in_time_and_answered():
-            pass  # repeated if it was stopped too late, which happens on a very busy machine
+        released, script = respond_when_released()
+        worker = StubWorker("w", script)
+        async with running_gateway(worker, expect_exit=True) as (gateway, discovery, client):
+            client.send(HttpClient.request_bytes("write", timeout="3.0"))
+            await wait_until(lambda: worker.requests)
+            idle_client = await gateway.connect()
+            gateway.process.send_signal(signal.SIGTERM)
+            await gateway.wait_for_log("stopping")
+            await gateway.reload_config(gateway.config_path.read_text(), "reloaded")
+            gateway.process.send_signal(signal.SIGTERM)
+            gateway.process.send_signal(signal.SIGINT)
+            assert await idle_client.is_closed_by_gateway()  # its connection is idle: the drain continues
+            released.set()
+            reply = await client.receive()
+            assert reply is not None and reply.status == 200
+            assert await gateway.process.wait() == 0
 
     run_scenario(scenario())
 
@@ -91,7 +199,7 @@
 def test_reply_deadline_leaves_time_for_stalls_before_sigkill(longest_deadline):
     signal_time = 100.0
     earliest_sigkill = signal_time + min(MAX_LONGEST_DEADLINE, longest_deadline) + SIGKILL_DELAY
-    timing = ShutdownTiming.after_signal(signal_time, [0.1, longest_deadline])
+    timing = ShutdownTiming.after_signal(signal_time, longest_deadline)
     assert timing.reply_deadline + 2 * MAX_STALL < earliest_sigkill
     assert timing.reply_deadline < timing.exit_deadline < earliest_sigkill
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,7 +5,6 @@
 import json
 import os
 import resource
-import signal
 import tempfile
 from pathlib import Path
 from random import Random
@@ -29,10 +28,11 @@
 )
 
 from wrenladder.proxy import discovery_watch
-from wrenladder.proxy.__main__ import CLIENT_SHARE, FIRST_RESPONSE_TIMEOUT, RESERVED_DESCRIPTORS, serve
+from wrenladder.proxy.__main__ import serve
 from wrenladder.proxy.bridge import Bridge
 from wrenladder.proxy.config import load_config
 from wrenladder.proxy.discovery_timing import LOCAL_AGENT_TIMING, READ_GRACE, SHARED_SERVICE_TIMING
+from wrenladder.proxy.service import CLIENT_SHARE, FIRST_RESPONSE_TIMEOUT, RESERVED_DESCRIPTORS
 from wrenladder.proxy.worker_pool import MIN_IDLE_TIME
 
 
@@ -203,32 +203,6 @@
         assert timing.response_timeout + READ_GRACE + timing.max_backoff < 6.0 - 1.0
 
 
-def test_sigterm_finishes_requests_accepts_new_ones_and_exits_cleanly():
-    async def scenario():
-        worker = StubWorker("w", never_respond)
-        async with running_gateway(worker, expect_exit=True) as (gateway, _, client):
-            released, worker.script = respond_when_released()
-            idle_client = await gateway.connect()
-            client.send(HttpClient.request_bytes("write", timeout="3.0"))
-            await wait_until(lambda: len(worker.requests) == 1)
-            worker.script = respond_with()
-            gateway.process.send_signal(signal.SIGTERM)
-            await gateway.wait_for_log("stopping")
-            assert await gateway.health_status() == 503
-            assert (await (await gateway.connect()).exchange("write")).status == 200
-            assert await idle_client.is_closed_by_gateway()
-            released.set()
-            reply = await client.receive()
-            assert (
-                reply.status == 200
-                and reply.headers["connection"] == "close"
-                and await client.is_closed_by_gateway()
-            )
-            assert await gateway.process.wait() == 0
-
-    run_scenario(scenario())
-
-
 def test_sighup_moves_discovery_watch_without_affecting_requests():
     async def scenario():
         worker, other_worker = StubWorker("w", never_respond), await StubWorker("v").start()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -24,7 +24,6 @@
 
 from wrenladder.proxy.client_connection import IDLE_TIMEOUT, MAX_LINGER_BYTES, MAX_PIPELINED_REQUESTS
 from wrenladder.proxy.server import DISCONNECT_POLL_INTERVAL
-from wrenladder.proxy.shutdown import LAME_DUCK_PERIOD
 
 
 def disconnect(client: HttpClient, disconnect_kind: str) -> None:
@@ -242,81 +241,3 @@
             assert reply is not None and reply.status == 200
 
     run_scenario(scenario())
-
-
-def test_drain_answers_requests_that_arrive_as_it_closes_connections():
-    async def scenario():
-        loop, stopped_too_late = asyncio.get_running_loop(), True
-        while stopped_too_late:  # repeated if it was stopped too late, which happens on a very busy machine
-            async with running_gateway(StubWorker("w"), expect_exit=True) as (gateway, _, client):
-                stopped_too_late = await drain_and_check(loop, gateway, client)
-
-    # Returns whether the gateway was stopped too late for the check.
-    async def drain_and_check(loop, gateway, client):
-        assert (await client.exchange("write")).status == 200
-        started_at = loop.time()
-        gateway.process.send_signal(signal.SIGTERM)
-        await gateway.wait_for_log("stopping")
-        gateway.process.send_signal(signal.SIGSTOP)
-        if loop.time() - started_at > LAME_DUCK_PERIOD / 2:
-            gateway.process.send_signal(signal.SIGCONT)
-            await gateway.process.wait()
-            return True
-        client.send(HttpClient.request_bytes("write"))  # on an idle connection
-        new_client = await gateway.connect()  # and on one in the listen backlog
-        new_client.send(HttpClient.request_bytes("write"))
-        await asyncio.sleep(LAME_DUCK_PERIOD + 0.1)  # the listener is due to close
-        gateway.process.send_signal(signal.SIGCONT)
-        for each_client in (client, new_client):
-            reply = await each_client.receive()
-            assert reply is not None and reply.status == 200 and reply.headers["connection"] == "close"
-        assert await gateway.process.wait() == 0
-        return False
-
-    run_scenario(scenario())
-
-
-def test_drain_answers_all_pipelined_requests():
-    async def scenario():
-        released, script = respond_when_released()
-        worker = StubWorker("w", script)
-        async with running_gateway(worker, expect_exit=True) as (gateway, _, client):
-            client.send(
-                b"".join(
-                    HttpClient.request_bytes("write", request_id=f"p{n}", timeout="3.9") for n in range(3)
-                )
-            )
-            await wait_until(lambda: worker.requests)
-            idle_client = await gateway.connect()
-            gateway.process.send_signal(signal.SIGTERM)
-            # Idle connections are closed, so from now on the last reply on each connection closes it.
-            assert await idle_client.is_closed_by_gateway()
-            released.set()
-            replies = [await client.receive() for _ in range(3)]
-            assert [reply.body for reply in replies] == [b"p0", b"p1", b"p2"]
-            assert [reply.headers.get("connection") for reply in replies] == [None, None, "close"]
-            assert await client.is_closed_by_gateway() and await gateway.process.wait() == 0
-
-    run_scenario(scenario())
-
-
-def test_further_signals_during_a_drain_have_no_effect():
-    async def scenario():
-        released, script = respond_when_released()
-        worker = StubWorker("w", script)
-        async with running_gateway(worker, expect_exit=True) as (gateway, discovery, client):
-            client.send(HttpClient.request_bytes("write", timeout="3.0"))
-            await wait_until(lambda: worker.requests)
-            idle_client = await gateway.connect()
-            gateway.process.send_signal(signal.SIGTERM)
-            await gateway.wait_for_log("stopping")
-            await gateway.reload_config(gateway.config_path.read_text(), "reloaded")
-            gateway.process.send_signal(signal.SIGTERM)
-            gateway.process.send_signal(signal.SIGINT)
-            assert await idle_client.is_closed_by_gateway()  # its connection is idle: the drain continues
-            released.set()
-            reply = await client.receive()
-            assert reply is not None and reply.status == 200
-            assert await gateway.process.wait() == 0
-
-    run_scenario(scenario())
--- a/wrenladder/proxy/shutdown.py
+++ b/wrenladder/proxy/shutdown.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 # SIGKILL comes no earlier than this delay plus the longest deadline after SIGTERM. A longest deadline above
@@ -37,9 +36,9 @@
     exit_deadline: float
 
     @classmethod
-    def after_signal(cls, now: float, deadlines: Iterable[float]) -> ShutdownTiming:
-        """The timing of a shutdown that begins now; `deadlines` are those of the request classes."""
-        sigkill_time = now + min(MAX_LONGEST_DEADLINE, max(deadlines)) + SIGKILL_DELAY
+    def after_signal(cls, now: float, longest_deadline: float) -> ShutdownTiming:
+        """The timing of a shutdown that begins now; `longest_deadline` is that of all request classes."""
+        sigkill_time = now + min(MAX_LONGEST_DEADLINE, longest_deadline) + SIGKILL_DELAY
         return cls(
             lame_duck_end=now + LAME_DUCK_PERIOD,
             reply_deadline=sigkill_time - REPLY_MARGIN,
