--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -380,6 +380,11 @@
         assert reply is not None
         return reply.status
 
+    async def suspend(self) -> None:
+        """Stop the process (SIGSTOP); a signal takes effect some time after it was sent."""
+        self.process.send_signal(signal.SIGSTOP)
+        await wait_until(lambda: process_state(self) == "T")
+
     async def wait_for_log(self, text: str) -> None:
         """Wait for a log line that contains `text`."""
         await wait_until(lambda: any(text in line for line in self.log))
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -49,8 +49,7 @@
     started_at = loop.time()
     gateway.process.send_signal(signal.SIGTERM)
     await gateway.wait_for_log("stopping")
-    gateway.process.send_signal(signal.SIGSTOP)
-    await wait_until(lambda: process_state(gateway) == "T")
+    await gateway.suspend()
     return loop.time() - started_at < LAME_DUCK_PERIOD / 2
 
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -165,8 +165,7 @@
                 )
             )
             await wait_until(lambda: [worker for worker in workers if worker.requests])
-            gateway.process.send_signal(signal.SIGSTOP)
-            await wait_until(lambda: process_state(gateway) == "T")
+            await gateway.suspend()
             released.set()
             await responded.wait()  # the first attempt was refused as overloaded and may be retried
             disconnect(client, disconnect_kind)
@@ -231,9 +230,7 @@
             assert (await client.exchange("write")).status == 200
             # Until the gateway has finished the first request. Otherwise its idle time would start late.
             await wait_until(lambda: process_state(gateway) == "S")
-            gateway.process.send_signal(signal.SIGSTOP)
-            # A signal takes effect some time after it was sent.
-            await wait_until(lambda: process_state(gateway) == "T")
+            await gateway.suspend()
             client.send(HttpClient.request_bytes("write"))
             await asyncio.sleep(IDLE_TIMEOUT + 0.3)  # its idle timeout has passed when it continues
             gateway.process.send_signal(signal.SIGCONT)
--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -289,10 +289,10 @@
         self._queue.append(incoming)
         self._start_next()
 
-    def reject_incomplete_request(self) -> None:
-        """Reject a request that is still being received, since the gateway is about to exit."""
+    def reject_incomplete_request(self, status: int, reason: str) -> None:
+        """Reject a request that is still being received, unless another one is being served."""
         if self._incoming is not None and not self._serving:
-            self._reject_incoming(503, "shutting down")
+            self._reject_incoming(status, reason)
 
     def _start_next(self) -> None:
         """Start the next queued request, unless one is being served."""
@@ -457,5 +457,5 @@
                 and self.can_close()
             ):
                 self._transport.close()
-        elif not self._serving and self._incoming is not None and elapsed > TRANSFER_TIMEOUT:
-            self._reject_incoming(408, "too slow")
+        elif elapsed > TRANSFER_TIMEOUT:
+            self.reject_incomplete_request(408, "too slow")
--- a/wrenladder/proxy/server.py
+++ b/wrenladder/proxy/server.py
@@ -157,7 +157,7 @@
         self._close_idle()
         await self._wait_until_closed(reply_deadline)
         for client in list(self._connections):
-            client.reject_incomplete_request()
+            client.reject_incomplete_request(503, "shutting down")
         self._close_idle()
         await self._wait_until_closed(exit_deadline)
         if self._connections:
--- a/wrenladder/proxy/service.py
+++ b/wrenladder/proxy/service.py
@@ -69,6 +69,8 @@
             int(config.descriptor_limit * IDLE_CLIENT_SHARE),
             self._bridge,
         )
+        sweep_interval = SWEEP_IDLE_SHARE * config.worker_idle_timeout
+        self._sweep_interval = max(MIN_SWEEP_INTERVAL, min(MAX_SWEEP_INTERVAL, sweep_interval))
         # Read only once, so that a worker's start time is the same in every list.
         clock_offset = time.time() - loop.time()
         self._discovery_watch = DiscoveryWatch(
@@ -102,7 +104,7 @@
         with suppress(TimeoutError):
             await asyncio.wait_for(self._discovery_watch.response_received.wait(), FIRST_RESPONSE_TIMEOUT)
         listener = await self._listen()
-        self._schedule_sweep()
+        self._loop.call_later(self._sweep_interval, self._sweep)
         await self._stop.wait()
         await self._shut_down(listener)
 
@@ -146,16 +148,11 @@
         log.info("%s listens at %s:%d", self._config.name, *listener.sockets[0].getsockname()[:2])
         return listener
 
-    def _schedule_sweep(self) -> None:
-        interval = SWEEP_IDLE_SHARE * self._config.worker_idle_timeout
-        interval = max(MIN_SWEEP_INTERVAL, min(MAX_SWEEP_INTERVAL, interval))
-        self._loop.call_later(interval, self._sweep)
-
     def _sweep(self) -> None:
         """Close connections that have timed out, again and again."""
         self._worker_pool.close_expired()
         self._server.enforce_timeouts()
-        self._schedule_sweep()
+        self._loop.call_later(self._sweep_interval, self._sweep)
 
     async def _shut_down(self, listener: asyncio.Server) -> None:
         """Reply to all requests, those that still come in the lame duck period included, and stop."""
