--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -390,6 +390,12 @@
         await wait_until(lambda: any(text in line for line in self.log))
 
 
+def memory_status(gateway: GatewayProcess, field: str) -> int:
+    """Return a memory field of /proc/PID/status in bytes: VmRSS is resident now, VmHWM at most so far."""
+    with open(f"/proc/{gateway.process.pid}/status") as file:
+        return next(int(line.split()[1]) for line in file if line.startswith(f"{field}:")) * 1024
+
+
 def process_state(gateway: GatewayProcess) -> str:
     """Return the state of the gateway's process: S while it waits, T while stopped, "" once it is gone."""
     try:
@@ -403,6 +409,7 @@
     discovery_port: int,
     known_entries: list[Any] | None = None,
     sockets: int = 256,
+    memory_mb: int = 192,
     settings_changes: dict[str, dict[str, Any]] | None = None,
     class_changes: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
@@ -420,7 +427,7 @@
         "listen": "127.0.0.1:0",
         "discovery": f"127.0.0.1:{discovery_port}",
         "seed": "8c1f",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
         "settings": settings_document,
         "known": {"index": 1, "snapshot": True, "endpoints": known_entries or []},
     }
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import os
 import signal
 import socket
@@ -25,6 +26,9 @@
 from wrenladder.proxy.client_connection import IDLE_TIMEOUT, MAX_LINGER_BYTES, MAX_PIPELINED_REQUESTS
 from wrenladder.proxy.server import DISCONNECT_POLL_INTERVAL
 
+MAX_ATTEMPT_DELAY_AFTER_CLOSE = 0.1  # seconds
+MAX_HIDING_REQUESTS = 100_000  # far more than the buffers of a connection hold
+
 
 def disconnect(client: HttpClient, disconnect_kind: str) -> None:
     """Disconnect a client by a reset, a close or a half-close, which ends only its sending."""
@@ -218,6 +222,84 @@
     run_scenario(scenario())
 
 
+def send_more_than_the_receive_window_and_close(client: HttpClient, prefix: str) -> None:
+    """Send so many requests that the close, which follows at once, can't reach the gateway before it reads."""
+    sock = client.writer.get_extra_info("socket").dup()
+    client.writer.transport.abort()
+    with contextlib.suppress(BlockingIOError):
+        for n in range(MAX_HIDING_REQUESTS):
+            sock.send(HttpClient.request_bytes("write", timeout="3.9", request_id=f"{prefix}{n}"))
+    sock.close()
+
+
+@pytest.mark.parametrize("client_count", [1, 8])
+def test_requests_are_not_forwarded_if_the_close_is_hidden_behind_unread_data(client_count):
+    async def scenario():
+        worker = StubWorker("w")
+        async with running_gateway(worker) as (gateway, _, _):
+            clients = [await gateway.connect() for _ in range(client_count)]
+            for client in clients:
+                assert (await client.exchange("write")).status == 200
+            await gateway.suspend()
+            for n, client in enumerate(clients):
+                send_more_than_the_receive_window_and_close(client, f"h{n}-")
+            await asyncio.sleep(MAX_ATTEMPT_DELAY_AFTER_CLOSE)
+            gateway.process.send_signal(signal.SIGCONT)
+            other_client = await gateway.connect()
+            for _ in range(5):
+                assert (await other_client.exchange("write")).status == 200
+            assert not [r.request_id for r in worker.requests if r.request_id.startswith("h")]
+
+    run_scenario(scenario())
+
+
+def test_no_further_attempt_starts_if_the_close_is_hidden_behind_unread_data():
+    async def scenario():
+        released, respond_overloaded = asyncio.Event(), respond_with(503, headers="X-Not-Processed: 1\r\n")
+
+        async def script(request, writer):
+            await released.wait()
+            await respond_overloaded(request, writer)
+
+        workers = [StubWorker("w", script), StubWorker("v", script)]
+        async with running_gateway(*workers) as (gateway, _, client):
+            client.send(HttpClient.request_bytes("write", timeout="3.9", request_id="h"))
+            await wait_until(lambda: [worker for worker in workers if worker.requests])
+            send_more_than_the_receive_window_and_close(client, "h")
+            await asyncio.sleep(MAX_ATTEMPT_DELAY_AFTER_CLOSE)
+            released.set()
+            other_client = await gateway.connect()
+            for worker in workers:
+                worker.script = respond_with()
+            for _ in range(5):
+                assert (await other_client.exchange("write")).status == 200
+            requests = [request for worker in workers for request in worker.requests]
+            assert [r.request_id for r in requests if r.request_id.startswith("h")] == ["h"]
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("disconnect_kind", ["close", "reset", "half"])
+def test_request_id_that_comes_again_after_its_client_left_does_not_run_twice(disconnect_kind):
+    async def scenario():
+        released, script = respond_when_released()
+        worker = StubWorker("w", script)
+        async with running_gateway(worker) as (gateway, _, client):
+            client.send(HttpClient.request_bytes("write", timeout="3.9", request_id="again"))
+            await wait_until(lambda: worker.requests)
+            disconnect(client, disconnect_kind)
+            released.set()
+            worker.script = respond_with()
+            other_client = await gateway.connect()
+            for _ in range(5):  # the first attempt has ended by then
+                assert (await other_client.exchange("write")).status == 200
+            reply = await other_client.exchange("write", request_id="again")
+            assert reply.status not in (200, 429, 503)  # neither served again nor said not to have run
+            assert [r.request_id for r in worker.requests].count("again") == 1
+
+    run_scenario(scenario())
+
+
 def test_disconnect_poll_interval_leaves_time_for_event_loop_delays():
     # No attempt may start more than 0.1 s after its client's close; the rest is for event loop delays.
     assert DISCONNECT_POLL_INTERVAL <= 0.1 / 2
