--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -20,8 +20,8 @@
 MIN_MEMORY_MB = 32  # the least memory limit of a deployment
 MAX_SOCKETS = 1024
 CLIENT_COUNT = 560  # fewer than the connection limit of the gateway with so many descriptors
-# While another client's request is served, each flooding connection may get so many replies. A request takes a
-# few turns of the event loop: accept, read, connect to a worker, write, read the response.
+# While another client's request is served, each flooding connection may get so many replies. A request takes
+# a few turns of the event loop: accept, read, connect to a worker, write, read the response.
 MAX_REPLIES_TO_FLOOD = 60
 READ_SIZE = 1 << 20  # bytes
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -223,7 +223,7 @@
 
 
 def send_more_than_the_receive_window_and_close(client: HttpClient, prefix: str) -> None:
-    """Send so many requests that the close, which follows at once, can't reach the gateway before it reads."""
+    """Send so many requests that the close, which follows, can't reach the gateway before it reads."""
     sock = client.writer.get_extra_info("socket").dup()
     client.writer.transport.abort()
     with contextlib.suppress(BlockingIOError):
