Pipelined requests are processed in small steps, and not behind a close that can't be seen

And orders were forwarded 0.1 s and more after their client had sent much and closed.

Cause, one for both: what a client sends ahead was taken in without a bound in time. ClientConnection.data_received parsed and served all that one read returned, up to 256,000 bytes, and since requests answered at once left the queue empty, reading went on: the event loop reads a ready socket up to 32 times, so one connection had 300,000 requests served within one turn. Where the queue did fill, reading paused, and the close stayed in the sender's buffer behind the receive window, where no poll can see it; attempts, first and further, went on.

Change: input is kept raw in InputBuffer and parsed in pieces of 1 KB when the connection has its turn. Reading goes on while a request is served, up to 128 KB, and a request is started only once the system holds no further input. Beyond 128 KB a close may be hidden: no attempt is started for this connection any more, its requests are refused, and it is closed once they all have their replies. The policy decides about a request in flight, by the outcome 'not sent'. Deadlines count from the read of the input, not from its parsing.

IncomingRequest has a module of its own.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -31,6 +31,10 @@
 
     closing = aborted = False
 
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        """Return no socket."""
+        return default
+
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         """Ignore the limits."""
 
@@ -67,6 +71,8 @@
         idle_timeout=AdaptiveIdleTimeout(1.0, 0.0),
         add_connection=lambda client: None,
         remove_connection=lambda client: None,
+        scheduler=types.SimpleNamespace(is_scheduled=lambda client: False, schedule=lambda client: None),
+        past_reply_deadline=False,
         remove=lambda connection: None,
         max_body_bytes=65536,
         on_connected=lambda: None,
--- a/wrenladder/proxy/bridge.py
+++ b/wrenladder/proxy/bridge.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 import math
 from collections import deque
@@ -37,6 +38,14 @@
 ReplyCallback = Callable[[int, bytes, bytes], None]  # status, header lines, body
 
 
+class ClientState(enum.Enum):
+    """What is known of a request's client right before an attempt."""
+
+    CONNECTED = enum.auto()
+    DISCONNECTED = enum.auto()
+    UNKNOWN = enum.auto()  # it has sent so much ahead that its disconnect could not be seen
+
+
 class ProxiedRequest:
     """A client's request until its final reply is sent and its attempts have ended."""
 
@@ -47,7 +56,7 @@
         "deadline",
         "reply",
         "attempts",
-        "client_disconnected",
+        "client_state",
         "ended",
         "attempts_in_flight",
         "deadline_timer",
@@ -59,9 +68,9 @@
     ) -> None:
         self.event, self.head, self.body, self.deadline = event, head, body, deadline
         self.reply: ReplyCallback | None = reply
-        # Checks whether the client has disconnected though no event has reported it; if so, it has abandoned
-        # this request when it returns.
-        self.client_disconnected: Callable[[], bool] | None = None
+        # Asks whether the client is connected, though no event has reported a disconnect; if it isn't, this
+        # request has been abandoned when the call returns.
+        self.client_state: Callable[[], ClientState] | None = None
         self.attempts: list[Attempt] = []
         self.attempts_in_flight = 0
         self.ended = False  # replied to or abandoned
@@ -226,8 +235,11 @@
         )
         # The client may have disconnected while reading from it was paused or while the event loop was
         # delayed, so this is checked right before the attempt: no worker should serve such a request.
-        if request.client_disconnected is None or not request.client_disconnected():
+        state = ClientState.CONNECTED if request.client_state is None else request.client_state()
+        if state is ClientState.CONNECTED:
             self._worker_pool.send(attempt)
+        elif state is ClientState.UNKNOWN:
+            attempt.finish(NOT_SENT)
 
     def _attempt_ended(self, attempt: Attempt, status: str, response: WorkerResponse | None) -> None:
         """Reply to the client on the first success, and report each outcome to the policy."""
@@ -268,7 +280,7 @@
             reply(status, headers, body)
 
     def _mark_ended(self, request: ProxiedRequest) -> None:
-        request.ended, request.reply, request.client_disconnected = True, None, None
+        request.ended, request.reply, request.client_state = True, None, None
         self._remove_if_done(request)
 
     def _remove_if_done(self, request: ProxiedRequest) -> None:
--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -8,9 +8,11 @@
 
 import httptools
 
-from wrenladder.proxy.bridge import ProxiedRequest
-from wrenladder.proxy.http_limits import HOP_BY_HOP_HEADERS, MAX_BODY_BYTES, MAX_HEAD_BYTES, RAW_SIZE_FACTOR
-from wrenladder.proxy.socket_state import disconnected, has_unread_input
+from wrenladder.proxy.bridge import ClientState, ProxiedRequest
+from wrenladder.proxy.http_limits import MAX_BODY_BYTES, MAX_HEAD_BYTES, RAW_SIZE_FACTOR
+from wrenladder.proxy.incoming_request import IncomingRequest, RequestRejected
+from wrenladder.proxy.input_buffer import InputBuffer
+from wrenladder.proxy.socket_state import SocketState, has_unread_input, socket_state
 
 if TYPE_CHECKING:
     from wrenladder.proxy.server import Server
@@ -22,9 +24,12 @@
 LINGER_TIMEOUT = 0.5  # seconds that a client has to read the reply to a rejected request and to close
 MAX_LINGER_BYTES = 2 * MAX_BODY_BYTES  # read and discarded after a rejected request
 MAX_REJECTED_REQUESTS = 3  # on one connection; the reply to the last of them closes it
-# Reading from a connection pauses when so many of its requests, or bytes of their bodies, are queued.
-MAX_PIPELINED_REQUESTS = 16
-MAX_PIPELINED_BYTES = MAX_BODY_BYTES
+# Bytes that are parsed in one call of the parser, unless a body of known length needs more. This bounds how
+# many requests one call completes.
+PARSE_SIZE = 1024
+MAX_PARSE_CALLS = 4  # in one step of a connection
+# Reading pauses at so many bytes that wait to be parsed. A close could then stay unseen behind unread input.
+MAX_UNPARSED_BYTES = 2 * MAX_BODY_BYTES
 
 SUPPORTED_HTTP_VERSIONS = ("1.0", "1.1")
 REASON_PHRASES = {
@@ -42,46 +47,6 @@
     504: b"Gateway Timeout",
     505: b"HTTP Version Not Supported",
 }
-# Request headers that the gateway writes itself or that apply to the client's connection only. All others
-# are forwarded to the worker.
-HEADERS_NOT_FORWARDED = HOP_BY_HOP_HEADERS | {b"x-timeout", b"expect"}
-
-
-class RequestRejected(Exception):
-    """A request that is rejected before the policy sees it: the reply's status and the reason."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
-class IncomingRequest:
-    """A request while it is received, and until it is served or rejected."""
-
-    __slots__ = (
-        "received_at",
-        "method",
-        "url",
-        "headers",
-        "forwarded_headers",
-        "duplicate_header",
-        "body_chunks",
-        "size",
-        "keep_alive",
-        "rejection",
-    )
-
-    def __init__(self, received_at: float) -> None:
-        self.received_at = received_at  # when its first byte was read
-        self.method = b""
-        self.url = b""
-        self.headers: dict[bytes, bytes] = {}  # by lower-case name
-        self.forwarded_headers: list[bytes] = []  # header lines for the worker
-        self.duplicate_header = b""  # name of an X-* header that occurs twice
-        self.body_chunks: list[bytes] = []
-        self.size = 0  # bytes of the head, then bytes of the body and its trailers
-        self.keep_alive = True
-        self.rejection: tuple[int, str] | None = None  # status and reason
 
 
 class ClientConnection(asyncio.Protocol):
@@ -93,10 +58,12 @@
         "_parser",
         "_incoming",
         "_head_complete",
+        "_input",
+        "_read_at",
         "_queue",
         "_current",
         "_keep_alive",
-        "_queued_bytes",
+        "_input_overrun",
         "_serving",
         "_writing_paused",
         "_input_discarded",
@@ -115,9 +82,12 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._incoming: IncomingRequest | None = None  # the request being received
         self._head_complete = False
+        self._input = InputBuffer()  # read, but not parsed yet
+        self._read_at = 0.0  # when the input being parsed was read
         self._queue: deque[IncomingRequest] = deque()  # received requests that wait for their turn
         self._current: ProxiedRequest | None = None  # the request in flight, once submitted to the bridge
-        self._queued_bytes = 0  # approximate size of the queue
+        # So much was sent ahead that a close could not be seen behind it: no request is forwarded any more.
+        self._input_overrun = False
         self._serving = False  # a request waits for its final reply
         self._keep_alive = True
         self._writing_paused = False  # the client does not read its replies
@@ -136,6 +106,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the new connection with the server."""
         self._transport = cast(asyncio.Transport, transport)
+        # Writing counts as paused until the system has taken all of a reply.
+        self._transport.set_write_buffer_limits(high=0)
         self.timeout_start = self._server.loop.time()
         self._server.add_connection(self)
 
@@ -153,6 +125,7 @@
         """Abandon the request in flight and drop those that wait or are being received."""
         self._incoming = None
         self._queue.clear()
+        self._input.clear()
         current, self._current = self._current, None
         if current is not None:
             self._server.bridge.abandon(current)
@@ -165,21 +138,87 @@
     def resume_writing(self) -> None:
         """Continue with the next request once the client reads again."""
         self._writing_paused = False
-        self._start_next()
+        self._schedule_next()
 
     def data_received(self, data: bytes) -> None:
-        """Parse a part of a request, or several requests."""
+        """Store input, and process the first request in it unless earlier ones wait."""
         if self._input_discarded or self._parser is None:
             # Input after a rejected request is read and discarded, since a close with unread input resets
             # the connection, by which the client may lose the reply. The amount is bounded, as reading
             # costs CPU time.
             self._unfinished_bytes += len(data)
             if self._unfinished_bytes > MAX_LINGER_BYTES and self._transport is not None:
+                self._input_overrun = True
                 self._server.pause_reading(self, self._transport)
             return
+        now = self._server.loop.time()
+        if len(data) <= PARSE_SIZE and not (self._input.size or self._queue) and self._may_start():
+            self._parse(now, data)  # the ordinary case: one request, and nothing in its way
+            self._start_first()
+            return
+        self._input.append(now, data)
+        if self._server.scheduler.is_scheduled(self):
+            self._limit_input()
+        else:
+            self.advance()
+
+    # Parsing and serving, one step at a time.
+
+    def advance(self) -> None:
+        """Parse until a request is complete, and start at most one request; schedule what is left."""
+        if self._transport is None:
+            return
+        if self._may_start():
+            for _ in range(MAX_PARSE_CALLS):
+                if self._queue or self._input_discarded or not self._input.size:
+                    break
+                self._parse(*self._input.take(self._parse_size()))
+            if self._server.past_reply_deadline:
+                self.reject_incomplete_request(503, "shutting down")
+        self._limit_input()
+        self._start_first()
+
+    def _start_first(self) -> None:
+        """Start the first request of the queue, if there is one and it may start; schedule what is left."""
+        if self._queue and self._may_start():
+            self._start_next()
+        self._schedule_next()
+
+    def _may_start(self) -> bool:
+        """Whether no earlier request or reply is in the way of the next request."""
+        return not (self._serving or self._writing_paused or self._last_reply_sent)
+
+    def _schedule_next(self) -> None:
+        if (self._queue or self._input.size) and self._may_start():
+            self._server.scheduler.schedule(self)
+
+    def _limit_input(self) -> None:
+        """Pause reading while too much input waits to be parsed, and resume once most of it is parsed."""
+        transport = self._transport
+        if transport is None or self._input_discarded:
+            return
+        if self._input.size > MAX_UNPARSED_BYTES:
+            self._input_overrun = True
+            self._server.pause_reading(self, transport)
+        elif (
+            self._input_overrun
+            and self._input.size <= MAX_UNPARSED_BYTES // 2
+            and not (transport.is_reading() or transport.is_closing())
+        ):
+            transport.resume_reading()
+
+    def _parse_size(self) -> int:
+        """How many bytes to parse in one call."""
+        if self._head_complete and self._incoming is not None:
+            return max(PARSE_SIZE, self._incoming.missing_body_bytes())
+        return PARSE_SIZE
+
+    def _parse(self, read_at: float, data: bytes) -> None:
+        """Parse input that was read at `read_at`, on the event loop's clock in seconds."""
+        self._read_at = read_at
         self._unfinished_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            cast(httptools.HttpRequestParser, self._parser).feed_data(data)
             # The parser buffers a whole header or trailer before it reports it: this bounds its memory.
             if self._unfinished_bytes > MAX_HEAD_BYTES + RAW_SIZE_FACTOR * MAX_BODY_BYTES or (
                 self._unfinished_bytes > 2 * MAX_HEAD_BYTES and not self._head_complete
@@ -194,126 +233,83 @@
                 cause.status if isinstance(cause, RequestRejected) else 400,
                 str(cause) if is_rejection else "malformed request",
             )
-        if self._queue:
-            self._start_next()
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Start a request; its deadline counts from here."""
-        now = self._server.loop.time()
-        self._incoming = IncomingRequest(now)
-        if self.has_valid_request and not self._serving:
-            self.timeout_start = now  # the first request on a connection is timed from the connect
+        self._incoming = IncomingRequest(self._read_at)
+        if self.has_valid_request:  # the first request on a connection is timed from the connect
+            self.timeout_start = self._server.loop.time()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        incoming = cast(IncomingRequest, self._incoming)
-        incoming.url += url
-        self._count_head_bytes(incoming, len(url))
+        cast(IncomingRequest, self._incoming).add_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are counted and ignored."""
         incoming = cast(IncomingRequest, self._incoming)
-        self._count_head_bytes(incoming, len(name) + len(value) + 4)  # with ": " and CRLF
         if self._head_complete:
-            return
-        lower = name.lower()
-        if lower in incoming.headers:
-            incoming.duplicate_header = lower if lower.startswith(b"x-") else incoming.duplicate_header
-        incoming.headers[lower] = value
-        if lower not in HEADERS_NOT_FORWARDED:
-            incoming.forwarded_headers.append(b"%b: %b\r\n" % (name, value))
-
-    def _count_head_bytes(self, incoming: IncomingRequest, size: int) -> None:
-        incoming.size += size
-        if incoming.size > MAX_HEAD_BYTES:
-            raise RequestRejected(431, "head too large")
+            incoming.add_trailer(name, value)
+        else:
+            incoming.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the request's head."""
         incoming = cast(IncomingRequest, self._incoming)
         self._head_complete, self._unfinished_bytes = True, 0
         parser = cast(httptools.HttpRequestParser, self._parser)
-        incoming.method, incoming.size = parser.get_method(), 0
         if parser.should_upgrade():
             raise RequestRejected(501, "no upgrade is served")
         if parser.get_http_version() not in SUPPORTED_HTTP_VERSIONS:
             raise RequestRejected(505, "HTTP version")
-        coding = incoming.headers.get(b"transfer-encoding")
-        if coding is not None and (coding.lower() != b"chunked" or parser.get_http_version() == "1.0"):
-            raise RequestRejected(501, "Transfer-Encoding")  # the parser accepts codings not decoded here
-        length = incoming.headers.get(b"content-length")
-        if length is not None and int(length) > MAX_BODY_BYTES:
-            raise RequestRejected(413, "body too large")
+        incoming.complete_head(parser.get_method(), parser.get_http_version())
         if (
             incoming.headers.get(b"expect", b"").lower() == b"100-continue"
-            and not (self._serving or self._queue)
+            and not self._queue
             and self._transport is not None
         ):
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
-        incoming = cast(IncomingRequest, self._incoming)
-        incoming.size += len(data)
-        if incoming.size > MAX_BODY_BYTES:
-            raise RequestRejected(413, "body too large")
-        incoming.body_chunks.append(data)
+        cast(IncomingRequest, self._incoming).add_body(data)
 
     def on_message_complete(self) -> None:
-        """Queue the complete request.
-
-        It is started only once all of the input has been parsed: a reply sent at once has to be known not to
-        be the last one.
-        """
+        """Queue the complete request."""
         incoming, self._incoming = cast(IncomingRequest, self._incoming), None
         incoming.keep_alive = cast(httptools.HttpRequestParser, self._parser).should_keep_alive()
         self._head_complete, self._unfinished_bytes = False, 0
-        if self._queue or self._serving or self._writing_paused:
-            self._queued_bytes += 1 + incoming.size
         self._queue.append(incoming)
-        if (
-            len(self._queue) >= MAX_PIPELINED_REQUESTS or self._queued_bytes >= MAX_PIPELINED_BYTES
-        ) and self._transport is not None:
-            self._server.pause_reading(self, self._transport)  # bounds the memory of the queue
 
     # Serving requests.
 
     def _reject_incoming(self, status: int, reason: str) -> None:
         """Queue a rejection behind the earlier requests, and parse nothing after it."""
         self._input_discarded, self._parser, self._unfinished_bytes = True, None, 0
+        self._input.clear()
         incoming = self._incoming or IncomingRequest(self._server.loop.time())
         self._incoming = None
         incoming.rejection, incoming.keep_alive = (status, reason), False
         self._queue.append(incoming)
-        self._start_next()
 
     def reject_incomplete_request(self, status: int, reason: str) -> None:
         """Reject a request that is still being received, unless another one is being served."""
-        if self._incoming is not None and not self._serving:
+        if self._incoming is not None and not (self._serving or self._input.size):
             self._reject_incoming(status, reason)
+            self._schedule_next()
 
     def _start_next(self) -> None:
-        """Start the next queued request, unless one is being served."""
-        while (
-            self._queue
-            and not (self._serving or self._writing_paused or self._last_reply_sent)
-            and self._transport is not None
-        ):
-            incoming = self._queue.popleft()
-            if not self._queue and self._queued_bytes:
-                self._queued_bytes = 0
-                self._transport.resume_reading()
-            self._serving = True
-            self._keep_alive = incoming.keep_alive and not self.over_limit
+        """Start the next request of the queue."""
+        incoming = self._queue.popleft()
+        self._serving = True
+        self._keep_alive = incoming.keep_alive and not self.over_limit
+        try:
             if incoming.rejection is not None:
-                self._reply_rejected(*incoming.rejection)
-                continue
-            try:
-                self._start(incoming)
-            except RequestRejected as error:
-                self._reply_rejected(error.status, str(error))
+                raise RequestRejected(*incoming.rejection)
+            self._start(incoming)
+        except RequestRejected as error:
+            self._reply_rejected(error.status, str(error))
 
     def _start(self, incoming: IncomingRequest) -> None:
         """Reply to a health check, or validate the request and submit it to the bridge."""
@@ -332,19 +328,26 @@
             ready = self._server.ready()
             self.reply(200 if ready else 503, b"", b"ok\n" if ready and incoming.method == b"GET" else b"")
             return
-        if self.check_disconnected():
+        state = socket_state(self._transport)
+        if state is SocketState.DISCONNECTED:
+            self.handle_disconnect()
+            return
+        if state is SocketState.UNREAD_INPUT and not self._input_overrun:
+            # A close may follow in what is still unread, so that is read first.
+            self._queue.appendleft(incoming)
+            self._serving = False
             return
         server, now = self._server, self._server.loop.time()
         event, head, deadline = server.parse_request(incoming, path, query, now)
         server.record_valid_request(self)
-        if self.over_limit:
-            self.reply(503, b"Retry-After: 0.1\r\n", b"")
+        if self.over_limit or self._input_overrun:
+            self.reply(503, server.refusal_headers, b"")
             return
         # `submit` may call `reply` before it returns; then there is nothing left to abandon.
-        request = server.bridge.submit(event, head, b"".join(incoming.body_chunks), deadline, self.reply)
+        request = server.bridge.submit(event, head, bytes(incoming.body), deadline, self.reply)
         if not request.ended:
             self._current = request
-            request.client_disconnected = self.check_disconnected
+            request.client_state = self.client_state
 
     def _reply_rejected(self, status: int, reason: str) -> None:
         """Reply with the reason for a rejection, and close the connection unless it may be kept.
@@ -368,11 +371,7 @@
         transport = self._transport
         if transport is None:
             return
-        # In a shutdown the last reply closes the connection. Pipelined requests are replied to before that,
-        # and a close with unread input would reset the connection, by which the client may lose replies.
-        keep_alive = self._keep_alive and (
-            not self._server.close_after_reply or bool(self._queue) or has_unread_input(transport)
-        )
+        keep_alive = self._keep_alive and not (self._closes_when_drained() and self._is_drained())
         self.timeout_start = self._server.loop.time()
         if self.has_valid_request:
             self._server.record_reply(self)
@@ -388,11 +387,11 @@
             )
         )
         if keep_alive:
-            if self._queue:
-                self._server.loop.call_soon(self._start_next)
+            self._schedule_next()
             return
         self._input_discarded = self._last_reply_sent = True
         self._queue.clear()
+        self._input.clear()
         if self.lingering:
             transport.write_eof()
             self._server.loop.call_later(LINGER_TIMEOUT, self.abort)
@@ -404,15 +403,26 @@
         transport = self._transport
         return transport if transport and not (transport.is_closing() or transport.is_reading()) else None
 
-    def check_disconnected(self) -> bool:
-        """Whether the client has disconnected, even if unread input precedes that; if so, clean up after it.
+    def _closes_when_drained(self) -> bool:
+        """Whether the connection is to be closed with the reply to the last request that has been sent."""
+        return self._server.close_after_reply or self._input_overrun
+
+    def _is_drained(self) -> bool:
+        """Whether no further request waits: a close would leave it unanswered.
+
+        A close with unread input would also reset the connection, by which the client may lose replies.
+        """
+        return not (self._queue or self._input.size or has_unread_input(self._transport))
+
+    def client_state(self) -> ClientState:
+        """Whether the client is connected, even if unread input precedes its disconnect; clean up after it.
 
         Prevents attempts for which no client waits, at the cost of one system call per attempt.
         """
-        if not disconnected([self._transport]):
-            return False
-        self.handle_disconnect()
-        return True
+        if socket_state(self._transport) is SocketState.DISCONNECTED:
+            self.handle_disconnect()
+            return ClientState.DISCONNECTED
+        return ClientState.UNKNOWN if self._input_overrun else ClientState.CONNECTED
 
     def handle_disconnect(self) -> None:
         """Abandon the requests and abort the connection, once the client is known to have disconnected."""
@@ -431,7 +441,9 @@
         """Whether no request is being received, queued or served, and the connection is not closing."""
         if self._transport is None or self._transport.is_closing():
             return False
-        return not self._serving and self._incoming is None and not self._queue and not self.lingering
+        return not (
+            self._serving or self._incoming is not None or self._queue or self._input.size or self.lingering
+        )
 
     def close(self) -> None:
         """Close once all that was written has been sent."""
--- /dev/null
+++ b/wrenladder/proxy/incoming_request.py
@@ -0,0 +1,134 @@
+"""A client's request while it is received, and the reason for which it may be rejected."""
+
+from __future__ import annotations
+
+from wrenladder.proxy.http_limits import HOP_BY_HOP_HEADERS, MAX_BODY_BYTES, MAX_HEAD_BYTES
+
+# Request headers that the gateway writes itself or that apply to the client's connection only. All others
+# are forwarded to the worker.
+HEADERS_NOT_FORWARDED = HOP_BY_HOP_HEADERS | {b"x-timeout", b"expect"}
+FIELD_SEPARATORS_SIZE = 4  # bytes of ": " and CRLF
+
+
+class RequestRejected(Exception):
+    """A request that is rejected before the policy sees it: the reply's status and the reason."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class IncomingRequest:
+    """A request while it is received, and until it is served or rejected.
+
+    Attributes:
+        received_at: When its first byte was read, on the event loop's clock in seconds.
+        method: Its method, known once the head is complete.
+        url: Its request target.
+        headers: Values by lower-case name; of a name that occurs twice the last one.
+        forwarded_headers: Header lines for the worker.
+        duplicate_header: Name of an X-* header that occurs twice, or empty.
+        body: What has been received of the body.
+        body_length: The announced Content-Length in bytes; 0 if there is none.
+        keep_alive: Whether the client allows further requests on the connection.
+        rejection: Status and reason, if it is rejected.
+    """
+
+    __slots__ = (
+        "received_at",
+        "method",
+        "url",
+        "headers",
+        "forwarded_headers",
+        "duplicate_header",
+        "body",
+        "body_length",
+        "keep_alive",
+        "rejection",
+        "_size",
+    )
+
+    def __init__(self, received_at: float) -> None:
+        self.received_at = received_at
+        self.method = b""
+        self.url = b""
+        self.headers: dict[bytes, bytes] = {}
+        self.forwarded_headers: list[bytes] = []
+        self.duplicate_header = b""
+        self.body: bytes | bytearray = b""
+        self.body_length = 0
+        self.keep_alive = True
+        self.rejection: tuple[int, str] | None = None
+        self._size = 0  # bytes of the head, then bytes of the body and its trailers
+
+    def add_url(self, part: bytes) -> None:
+        """Append a part of the request target.
+
+        Raises:
+            RequestRejected: The head is too large.
+        """
+        self.url += part
+        self._count_head_bytes(len(part))
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Store a header.
+
+        Raises:
+            RequestRejected: The head is too large.
+        """
+        self._size += len(name) + len(value) + FIELD_SEPARATORS_SIZE
+        if self._size > MAX_HEAD_BYTES:
+            raise RequestRejected(431, "head too large")
+        lower = name.lower()
+        if lower in self.headers and lower.startswith(b"x-"):
+            self.duplicate_header = lower
+        self.headers[lower] = value
+        if lower not in HEADERS_NOT_FORWARDED:
+            self.forwarded_headers.append(b"%b: %b\r\n" % (name, value))
+
+    def add_trailer(self, name: bytes, value: bytes) -> None:
+        """Count a trailer, which is not forwarded.
+
+        Raises:
+            RequestRejected: The trailers, together with the body, are too large.
+        """
+        self._count_head_bytes(len(name) + len(value) + FIELD_SEPARATORS_SIZE)
+
+    def _count_head_bytes(self, size: int) -> None:
+        self._size += size
+        if self._size > MAX_HEAD_BYTES:
+            raise RequestRejected(431, "head too large")
+
+    def complete_head(self, method: bytes, http_version: str) -> None:
+        """Check the complete head.
+
+        Raises:
+            RequestRejected: Its transfer coding is not supported, or its body is too large.
+        """
+        self.method, self._size = method, 0
+        coding = self.headers.get(b"transfer-encoding")
+        if coding is not None and (coding.lower() != b"chunked" or http_version == "1.0"):
+            raise RequestRejected(501, "Transfer-Encoding")  # the parser accepts codings not decoded here
+        self.body_length = int(self.headers.get(b"content-length", b"0"))
+        if self.body_length > MAX_BODY_BYTES:
+            raise RequestRejected(413, "body too large")
+
+    def add_body(self, part: bytes) -> None:
+        """Append a part of the body.
+
+        Raises:
+            RequestRejected: The body is too large.
+        """
+        self._size += len(part)
+        if self._size > MAX_BODY_BYTES:
+            raise RequestRejected(413, "body too large")
+        if not self.body:
+            self.body = part
+            return
+        if isinstance(self.body, bytes):
+            self.body = bytearray(self.body)
+        self.body += part
+
+    def missing_body_bytes(self) -> int:
+        """How many bytes of the announced body have not been received yet."""
+        return max(0, self.body_length - len(self.body))
--- a/wrenladder/proxy/server.py
+++ b/wrenladder/proxy/server.py
@@ -11,8 +11,10 @@
 from wrenladder.policy.events import Request
 from wrenladder.policy.settings import PURE, Settings
 from wrenladder.proxy.bridge import Bridge
-from wrenladder.proxy.client_connection import ClientConnection, IncomingRequest, RequestRejected
+from wrenladder.proxy.client_connection import ClientConnection
+from wrenladder.proxy.incoming_request import IncomingRequest, RequestRejected
 from wrenladder.proxy.socket_state import disconnected
+from wrenladder.proxy.turn_scheduler import TurnScheduler
 
 log = logging.getLogger("wrenladder")
 # Seconds between checks whether clients from which reading is paused have disconnected. No attempt may start
@@ -20,6 +22,7 @@
 DISCONNECT_POLL_INTERVAL = 0.02
 MAX_EVICTION_CANDIDATES = 8  # oldest connections without a valid request that are checked for unread input
 MAX_OVERFLOW_CONNECTIONS = 24  # beyond the connection limit; their first request is refused with a reply
+REFUSAL_RETRY_AFTER = 0.1  # seconds that a refusal for lack of connections or memory advises at most
 MAX_CACHED_WEIGHTS = 256  # parsed values of X-Weight
 MAX_TIMEOUT = 86400.0  # seconds; a request with a longer X-Timeout is rejected
 CUSTOMER_ID_LIMIT = 2**33  # all customer ids are smaller
@@ -41,7 +44,11 @@
         bridge: Bridge,
     ) -> None:
         self.loop, self.bridge = loop, bridge
+        self.scheduler = TurnScheduler(loop)
+        retry_after = min(REFUSAL_RETRY_AFTER, settings.max_retry_after)
+        self.refusal_headers = b"Retry-After: %.3f\r\n" % retry_after if retry_after > 0 else b""
         self.close_after_reply = False  # if set, replies close the connections on which no request is queued
+        self.past_reply_deadline = False  # in a shutdown: incomplete requests are rejected
         self._no_connections = asyncio.Event()  # set exactly while no connection is open
         self._no_connections.set()
         # Above `idle_client_limit` connections with a valid request, the longest idle one is closed.
@@ -135,6 +142,7 @@
 
     def remove_connection(self, client: ClientConnection) -> None:
         """Deregister a connection that is closed."""
+        self.scheduler.remove(client)
         self._connections.pop(client, None)
         self._without_valid_request.pop(client, None)
         self._with_valid_request.pop(client, None)
@@ -156,6 +164,7 @@
         self.close_after_reply = True
         self._close_idle()
         await self._wait_until_closed(reply_deadline)
+        self.past_reply_deadline = True
         for client in list(self._connections):
             client.reject_incomplete_request(503, "shutting down")
         self._close_idle()
@@ -191,7 +200,7 @@
             raise RequestRejected(400, "X-Priority-Class")  # the header repeats the class in the path
         if incoming.method != (b"GET" if request_class.effect == PURE else b"POST"):
             raise RequestRejected(405, "method")
-        if incoming.body_chunks and request_class.effect == PURE:
+        if incoming.body and request_class.effect == PURE:
             raise RequestRejected(400, "body")
         if incoming.duplicate_header:
             raise RequestRejected(400, incoming.duplicate_header.decode("latin-1"))
@@ -233,8 +242,8 @@
         )
         target = path + b"?" + query
         content_length = (
-            b"Content-Length: %d\r\n" % sum(map(len, incoming.body_chunks))
-            if incoming.method == b"POST" or incoming.body_chunks
+            b"Content-Length: %d\r\n" % len(incoming.body)
+            if incoming.method == b"POST" or incoming.body
             else b""
         )
         head = b"%b %b HTTP/1.1\r\n%b%b" % (
--- a/wrenladder/proxy/socket_state.py
+++ b/wrenladder/proxy/socket_state.py
@@ -3,9 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import select
 from collections.abc import Iterable
 
+DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class SocketState(enum.Enum):
+    """What waits at a socket."""
+
+    QUIET = enum.auto()
+    UNREAD_INPUT = enum.auto()
+    DISCONNECTED = enum.auto()  # the peer has closed or reset the connection; unread input may precede that
+
 
 def _poll(transports: Iterable[asyncio.BaseTransport | None], mask: int) -> dict[asyncio.BaseTransport, int]:
     """The transports on whose sockets events of `mask` or errors are pending, from one poll of them all."""
@@ -29,9 +40,15 @@
 
 def disconnected(transports: Iterable[asyncio.BaseTransport | None]) -> list[asyncio.BaseTransport]:
     """The transports whose peer has closed or reset the connection, even if unread input precedes that."""
-    disconnect_events = select.POLLRDHUP | select.POLLHUP | select.POLLERR
     return [
         transport
         for transport, events in _poll(transports, select.POLLRDHUP).items()
-        if events & disconnect_events
+        if events & DISCONNECT_EVENTS
     ]
+
+
+def socket_state(transport: asyncio.BaseTransport | None) -> SocketState:
+    """The state of a transport's socket, from one poll."""
+    for events in _poll([transport], select.POLLIN | select.POLLRDHUP).values():
+        return SocketState.DISCONNECTED if events & DISCONNECT_EVENTS else SocketState.UNREAD_INPUT
+    return SocketState.QUIET
