The memory that messages take is bounded for all connections together

Cause: each message was bounded, but not their sum, and not what a byte on the wire takes in memory. 585 clients with 1,024 descriptors may hold a body of 64 KiB each; a field of 4 bytes took some 200, a chunk of 7 bytes with two of content some 60, as the body was a list of pieces; 16 pipelined requests counted without their heads; and replies that a client does not read were not counted at all. limits.memory_mb was not read.

Change: MemoryBudget takes a fifth of what the process has not used of limits.memory_mb when it starts. Client connections account for requests that are incomplete, queued, not parsed yet or large and in flight, and for replies that are not read; worker connections for incomplete responses. Over the limit the oldest holders of more than the average give way: incomplete requests get 503, connections whose replies are not read are aborted. What finds no room then is refused with 503, or its connection is not read on. While memory is tight, reads and parsing steps are smaller. Bodies are byte arrays, a head has at most 100 fields, and requests that will be refused keep no content.

--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -38,6 +38,7 @@
         "write", extra_headers="Transfer-Encoding: chunked\r\n"
     ),
     "upgrade": HttpClient.request_bytes(extra_headers="Connection: upgrade\r\nUpgrade: websocket\r\n"),
+    "too many header fields": HttpClient.request_bytes(extra_headers="a:\r\n" * 200),
     "head too large": HttpClient.request_bytes(extra_headers=f"X-Long: {'x' * 40_000}\r\n"),
     **{
         f"X-Timeout {value!r}": HttpClient.request_bytes(timeout=value)
@@ -82,6 +83,7 @@
             status = {
                 "upgrade": 501,
                 "head too large": 431,
+                "too many header fields": 431,
                 "two transfer codings": 501,
                 "chunked in HTTP/1.0": 501,
                 "HTTP/2.0": 505,
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -18,12 +18,12 @@
     respond_with,
     run_scenario,
     running_gateway,
-    wait_until,
 )
 
 MIN_MEMORY_MB = 32  # the least memory limit of a deployment
 MAX_SOCKETS = 1024
 CLIENT_COUNT = 560  # fewer than the connection limit of the gateway with so many descriptors
+HEALTH_CHECK_COUNT = 5
 CLIENT_TIMEOUT = 0.75  # seconds that other clients wait for their replies
 
 CHUNKED_HEAD = HttpClient.request_bytes("write").replace(
@@ -85,18 +85,26 @@
     run_scenario(scenario())
 
 
+async def wait_until_no_more_is_forwarded(gateway: GatewayProcess, worker: StubWorker) -> None:
+    """Wait until the worker gets no further request while the gateway answers some health checks."""
+    request_count = -1
+    while request_count != len(worker.requests):
+        request_count = len(worker.requests)
+        for _ in range(HEALTH_CHECK_COUNT):
+            assert await gateway.health_status() == 200
+
+
 def test_hundreds_of_unread_replies_stay_within_the_memory_limit():
     async def scenario():
         worker = StubWorker("w", respond_with(body=b"x" * 65_536))
         async with running_gateway(worker, sockets=MAX_SOCKETS, memory_mb=MIN_MEMORY_MB) as (gateway, _, _):
             clients = []
-            for n in range(200):
+            for _ in range(200):
                 clients.append(await gateway.connect())
                 clients[-1].writer.transport.pause_reading()
                 # More replies than the buffers of the two systems hold.
                 clients[-1].send(b"".join(HttpClient.request_bytes() for _ in range(100)))
-                await wait_until(lambda n=n: len(worker.requests) > n)
-            assert await gateway.health_status() == 200
+                await wait_until_no_more_is_forwarded(gateway, worker)
             assert memory_status(gateway, "VmHWM") < MIN_MEMORY_MB << 20
             close_all(clients)
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -22,6 +22,7 @@
 from wrenladder.proxy.client_connection import TRANSFER_TIMEOUT, ClientConnection
 from wrenladder.proxy.discovery_watch import DiscoveryConnection
 from wrenladder.proxy.idle_timeout import AdaptiveIdleTimeout
+from wrenladder.proxy.memory_budget import MemoryBudget
 from wrenladder.proxy.worker_connection import WorkerConnection
 from wrenladder.proxy.worker_pool import WorkerProcess
 
@@ -75,6 +76,7 @@
         past_reply_deadline=False,
         remove=lambda connection: None,
         max_body_bytes=65536,
+        memory=MemoryBudget(),
         on_connected=lambda: None,
         on_failure=lambda connection, reason: None,
     )
--- /dev/null
+++ b/tests/test_memory_budget.py
@@ -0,0 +1,81 @@
+"""The memory of messages is bounded for all connections together, and unfinished messages give way."""
+
+import pytest
+from stand_ins import (
+    StubWorker,
+    memory_status,
+    respond_with,
+    run_scenario,
+    running_gateway,
+)
+
+from wrenladder.proxy.memory_budget import MIN_BUDGET, MemoryBudget
+
+
+class StubHolder:
+    """Holds memory, which it gives up if `may_shed` is set."""
+
+    def __init__(self, budget: MemoryBudget, may_shed: bool = True) -> None:
+        self.budget, self.may_shed, self.was_shed = budget, may_shed, False
+
+    def shed(self) -> bool:
+        """Give up the memory, if allowed."""
+        if self.may_shed:
+            self.was_shed = True
+            self.budget.update(self, 0)
+        return self.may_shed
+
+
+def test_oldest_large_holders_are_shed_until_there_is_room():
+    budget = MemoryBudget(1000)
+    small, oldest, busy, newest = (StubHolder(budget, may_shed) for may_shed in (True, True, False, True))
+    for holder, size in ((small, 10), (oldest, 400), (busy, 300), (newest, 280)):
+        assert budget.update(holder, size)
+    assert budget.is_tight and not budget.is_exceeded
+    assert budget.update(StubHolder(budget), 200)
+    assert [h.was_shed for h in (small, oldest, busy, newest)] == [False, True, False, False]
+
+
+def test_holder_finds_no_room_if_no_other_gives_way():
+    budget = MemoryBudget(1000)
+    assert budget.update(StubHolder(budget, may_shed=False), 900)
+    holder = StubHolder(budget)
+    assert not budget.update(holder, 200) and budget.is_exceeded
+    assert budget.update(holder, 0) and not budget.is_exceeded
+    assert budget.update(holder, 100)
+
+
+@pytest.mark.parametrize("memory_limit", [1, 64 << 20, 1 << 40])
+def test_budget_is_a_part_of_the_free_memory_and_at_least_the_minimum(memory_limit):
+    budget = MemoryBudget.of_free_memory(memory_limit)
+    assert budget.update(StubHolder(budget, may_shed=False), MIN_BUDGET)
+    assert not budget.update(StubHolder(budget), max(MIN_BUDGET, memory_limit))
+
+
+# Guards against responses whose tiny chunks take many times their size in memory.
+def test_response_in_tiny_chunks_is_passed_on_in_little_memory():
+    body = b"ab" * 30_000
+    response = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 30_000 + b"0\r\n\r\n"
+    )
+
+    async def scenario():
+        worker = StubWorker("w", respond_with(raw_response=response))
+        async with running_gateway(worker) as (gateway, _, client):
+            memory_before = memory_status(gateway, "VmHWM")
+            reply = await client.exchange()
+            assert reply.status == 200 and reply.body == body
+            assert memory_status(gateway, "VmHWM") - memory_before < 10 * len(body)
+
+    run_scenario(scenario())
+
+
+def test_response_with_very_many_header_fields_is_malformed():
+    fields = "".join(f"X-{n}: 1\r\n" for n in range(200))
+
+    async def scenario():
+        worker = StubWorker("w", respond_with(headers=fields))
+        async with running_gateway(worker) as (_, _, client):
+            assert (await client.exchange("write")).status == 502
+
+    run_scenario(scenario())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -68,6 +68,8 @@
         (altered_config("counter", value="here"), "counter"),
         (altered_config("seed", value="xyz"), "seed"),
         (altered_config("limits.sockets", value="many"), "limits.sockets"),
+        (altered_config("limits.memory_mb", value="much"), "limits.memory_mb"),
+        (altered_config("limits.memory_mb", value=0), "limits.memory_mb"),
         (altered_config("known", value=3), "known"),
     ],
 )
--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import TYPE_CHECKING, cast
 
 import httptools
@@ -27,9 +26,12 @@
 # Bytes that are parsed in one call of the parser, unless a body of known length needs more. This bounds how
 # many requests one call completes.
 PARSE_SIZE = 1024
+TIGHT_PARSE_SIZE = 256  # while memory is tight
 MAX_PARSE_CALLS = 4  # in one step of a connection
 # Reading pauses at so many bytes that wait to be parsed. A close could then stay unseen behind unread input.
 MAX_UNPARSED_BYTES = 2 * MAX_BODY_BYTES
+# Bytes of a request in flight, or of a reply, from which its memory is accounted for.
+MIN_ACCOUNTED_BYTES = 2048
 
 SUPPORTED_HTTP_VERSIONS = ("1.0", "1.1")
 REASON_PHRASES = {
@@ -49,7 +51,7 @@
 }
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client connection: requests are served one after another, and replies are sent in their order."""
 
     __slots__ = (
@@ -64,6 +66,8 @@
         "_current",
         "_keep_alive",
         "_input_overrun",
+        "_in_flight_bytes",
+        "_accounted_bytes",
         "_serving",
         "_writing_paused",
         "_input_discarded",
@@ -84,10 +88,12 @@
         self._head_complete = False
         self._input = InputBuffer()  # read, but not parsed yet
         self._read_at = 0.0  # when the input being parsed was read
-        self._queue: deque[IncomingRequest] = deque()  # received requests that wait for their turn
+        self._queue: list[IncomingRequest] = []  # received requests that wait for their turn, a few
         self._current: ProxiedRequest | None = None  # the request in flight, once submitted to the bridge
         # So much was sent ahead that a close could not be seen behind it: no request is forwarded any more.
         self._input_overrun = False
+        self._in_flight_bytes = 0  # of the request in flight, if it is large
+        self._accounted_bytes = 0  # of all that is held for this client
         self._serving = False  # a request waits for its final reply
         self._keep_alive = True
         self._writing_paused = False  # the client does not read its replies
@@ -126,6 +132,8 @@
         self._incoming = None
         self._queue.clear()
         self._input.clear()
+        self._in_flight_bytes = 0
+        self._account_memory()
         current, self._current = self._current, None
         if current is not None:
             self._server.bridge.abandon(current)
@@ -134,12 +142,22 @@
         """Start no further request while the client does not read its replies."""
         self._writing_paused = True
         self.timeout_start = self._server.loop.time()
+        self._account_memory()
 
     def resume_writing(self) -> None:
         """Continue with the next request once the client reads again."""
         self._writing_paused = False
+        self._account_memory()
         self._schedule_next()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read the next input into."""
+        return self._server.read_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process input that has been read into the buffer."""
+        self.data_received(bytes(self._server.read_buffer()[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Store input, and process the first request in it unless earlier ones wait."""
         if self._input_discarded or self._parser is None:
@@ -147,9 +165,8 @@
             # the connection, by which the client may lose the reply. The amount is bounded, as reading
             # costs CPU time.
             self._unfinished_bytes += len(data)
-            if self._unfinished_bytes > MAX_LINGER_BYTES and self._transport is not None:
-                self._input_overrun = True
-                self._server.pause_reading(self, self._transport)
+            if self._unfinished_bytes > MAX_LINGER_BYTES:
+                self._pause_input()
             return
         now = self._server.loop.time()
         if len(data) <= PARSE_SIZE and not (self._input.size or self._queue) and self._may_start():
@@ -180,8 +197,12 @@
 
     def _start_first(self) -> None:
         """Start the first request of the queue, if there is one and it may start; schedule what is left."""
+        if self._incoming is not None and not self._queue and not self._account_memory():
+            self._reject_incoming(503, "out of memory")
         if self._queue and self._may_start():
             self._start_next()
+        if self._accounted_bytes or self._queue or self._input.size:
+            self._account_memory()
         self._schedule_next()
 
     def _may_start(self) -> bool:
@@ -197,21 +218,59 @@
         transport = self._transport
         if transport is None or self._input_discarded:
             return
-        if self._input.size > MAX_UNPARSED_BYTES:
-            self._input_overrun = True
-            self._server.pause_reading(self, transport)
-        elif (
-            self._input_overrun
-            and self._input.size <= MAX_UNPARSED_BYTES // 2
-            and not (transport.is_reading() or transport.is_closing())
-        ):
+        if self._input.size > MAX_UNPARSED_BYTES or (self._input.size and not self._account_memory()):
+            self._pause_input()
+        elif self._input_overrun and self._has_room_for_input() and not transport.is_closing():
             transport.resume_reading()
 
+    def _has_room_for_input(self) -> bool:
+        """Whether reading may go on after a pause."""
+        return not self._input.size or (
+            self._input.size <= MAX_UNPARSED_BYTES // 2 and not self._server.memory.is_tight
+        )
+
+    def _pause_input(self) -> None:
+        """Pause reading, after which a close may be hidden behind what is not read."""
+        self._input_overrun = True
+        for incoming in self._queue:
+            incoming.refuse()
+        if self._transport is not None:
+            self._server.pause_reading(self, self._transport)
+
+    def _account_memory(self) -> bool:
+        """Account for the memory held for this client; return whether the budget allows it."""
+        size = self._input.size + self._in_flight_bytes
+        if self._incoming is not None:
+            size += self._incoming.memory()
+            if not self._head_complete:
+                size += self._unfinished_bytes  # the parser holds them until a header is complete
+        for incoming in self._queue:
+            size += incoming.memory()
+        if self._writing_paused and self._transport is not None:
+            size += self._transport.get_write_buffer_size()
+        if size == self._accounted_bytes:
+            return not self._server.memory.is_exceeded
+        self._accounted_bytes = size
+        return self._server.memory.update(self, size)
+
+    def shed(self) -> bool:
+        """Reject an incomplete request, or abort the connection if the client does not read its replies."""
+        if self._transport is None or self._serving:
+            return False
+        if self._writing_paused:
+            self.abort()
+        elif self._incoming is not None and not self._queue:
+            self._reject_incoming(503, "out of memory")
+            self._start_first()
+        else:
+            return False
+        return True
+
     def _parse_size(self) -> int:
         """How many bytes to parse in one call."""
         if self._head_complete and self._incoming is not None:
             return max(PARSE_SIZE, self._incoming.missing_body_bytes())
-        return PARSE_SIZE
+        return TIGHT_PARSE_SIZE if self._server.memory.is_tight else PARSE_SIZE
 
     def _parse(self, read_at: float, data: bytes) -> None:
         """Parse input that was read at `read_at`, on the event loop's clock in seconds."""
@@ -280,6 +339,8 @@
         incoming, self._incoming = cast(IncomingRequest, self._incoming), None
         incoming.keep_alive = cast(httptools.HttpRequestParser, self._parser).should_keep_alive()
         self._head_complete, self._unfinished_bytes = False, 0
+        if self._input_overrun:
+            incoming.refuse()
         self._queue.append(incoming)
 
     # Serving requests.
@@ -301,13 +362,16 @@
 
     def _start_next(self) -> None:
         """Start the next request of the queue."""
-        incoming = self._queue.popleft()
+        incoming = self._queue.pop(0)
         self._serving = True
         self._keep_alive = incoming.keep_alive and not self.over_limit
         try:
             if incoming.rejection is not None:
                 raise RequestRejected(*incoming.rejection)
-            self._start(incoming)
+            if incoming.refused:
+                self.reply(503, self._server.refusal_headers, b"")
+            else:
+                self._start(incoming)
         except RequestRejected as error:
             self._reply_rejected(error.status, str(error))
 
@@ -332,17 +396,22 @@
         if state is SocketState.DISCONNECTED:
             self.handle_disconnect()
             return
-        if state is SocketState.UNREAD_INPUT and not self._input_overrun:
+        if state is SocketState.UNREAD_INPUT:
             # A close may follow in what is still unread, so that is read first.
-            self._queue.appendleft(incoming)
+            self._queue.insert(0, incoming)
             self._serving = False
             return
         server, now = self._server, self._server.loop.time()
         event, head, deadline = server.parse_request(incoming, path, query, now)
         server.record_valid_request(self)
-        if self.over_limit or self._input_overrun:
+        if self.over_limit:
             self.reply(503, server.refusal_headers, b"")
             return
+        if len(head) + len(incoming.body) >= MIN_ACCOUNTED_BYTES:
+            self._in_flight_bytes = len(head) + len(incoming.body)
+            if not self._account_memory():
+                self._in_flight_bytes = 0
+                raise RequestRejected(503, "out of memory")
         # `submit` may call `reply` before it returns; then there is nothing left to abandon.
         request = server.bridge.submit(event, head, bytes(incoming.body), deadline, self.reply)
         if not request.ended:
@@ -362,12 +431,16 @@
         )
         self._input_discarded = self._input_discarded or not self._keep_alive
         self.lingering = not self._keep_alive
-        self.reply(status, b"Content-Type: text/plain\r\n", reason.encode() + b"\n")
+        headers = self._server.refusal_headers if status == 503 else b""
+        self.reply(status, b"Content-Type: text/plain\r\n" + headers, reason.encode() + b"\n")
 
     def reply(self, status: int, headers: bytes, body: bytes) -> None:
         """Send the final reply to the request being served."""
         self._current = None
         self._serving = False
+        if self._accounted_bytes:
+            self._in_flight_bytes = 0
+            self._account_memory()
         transport = self._transport
         if transport is None:
             return
--- a/wrenladder/proxy/config.py
+++ b/wrenladder/proxy/config.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import json
+import math
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from wrenladder.policy.settings import Settings
+from wrenladder.proxy.memory_budget import MEBIBYTE
 from wrenladder.settings_document import MICROSECONDS_PER_SECOND, read_settings
 
 DEFAULT_DESCRIPTOR_LIMIT = 1024  # limit of file descriptors, unless configured
+DEFAULT_MEMORY_LIMIT_MB = 192  # memory that the process may take, unless configured
 MIN_DESCRIPTOR_LIMIT = 32  # lowest limit that can be configured
 
 
@@ -29,6 +32,7 @@
         discovery: Host and port of the discovery service.
         seed: Seed of the random choices.
         descriptor_limit: Most file descriptors that the process may have open.
+        memory_limit: Bytes of memory that the process may take.
         initial_worker_list: The worker list to start with, in the form of discovery's responses, if any.
         settings: Settings of the policy.
         drain_grace: How long an attempt at a worker that began to drain still opens a connection; nothing is
@@ -43,6 +47,7 @@
     discovery: tuple[str, int]
     seed: int
     descriptor_limit: int
+    memory_limit: int
     initial_worker_list: dict[str, Any] | None
     settings: Settings
     drain_grace: float
@@ -128,6 +133,7 @@
         discovery=_read_address(document, environment, "discovery", "PROXY_DISCOVERY", 1),
         seed=seed,
         descriptor_limit=_read_descriptor_limit(document),
+        memory_limit=_read_memory_limit(document),
         initial_worker_list=initial_worker_list,
         settings=settings,
         drain_grace=drain_grace,
@@ -161,3 +167,12 @@
         )
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     return descriptor_limit if soft_limit == resource.RLIM_INFINITY else min(descriptor_limit, soft_limit)
+
+
+def _read_memory_limit(document: dict[str, Any]) -> int:
+    """Return the configured limit of memory in bytes."""
+    limits = document.get("limits", {})
+    limit_mb = limits.get("memory_mb", DEFAULT_MEMORY_LIMIT_MB) if isinstance(limits, dict) else None
+    if not isinstance(limit_mb, int | float) or isinstance(limit_mb, bool) or not 0 < limit_mb < math.inf:
+        raise ConfigError(f"limits.memory_mb: must be a finite number above 0, not {limit_mb!r}")
+    return int(limit_mb * MEBIBYTE)
--- a/wrenladder/proxy/incoming_request.py
+++ b/wrenladder/proxy/incoming_request.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from wrenladder.proxy.http_limits import HOP_BY_HOP_HEADERS, MAX_BODY_BYTES, MAX_HEAD_BYTES
+from wrenladder.proxy.http_limits import HOP_BY_HOP_HEADERS, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADER_FIELDS
 
 # Request headers that the gateway writes itself or that apply to the client's connection only. All others
 # are forwarded to the worker.
 HEADERS_NOT_FORWARDED = HOP_BY_HOP_HEADERS | {b"x-timeout", b"expect"}
 FIELD_SEPARATORS_SIZE = 4  # bytes of ": " and CRLF
+# Estimates of the memory that a request takes.
+REQUEST_OVERHEAD = 512  # bytes, without its fields
+FIELD_OVERHEAD = 192  # bytes, beside the name and value
+FIELD_COPIES = 2  # each name and value is stored twice
 
 
 class RequestRejected(Exception):
@@ -32,6 +36,7 @@
         body_length: The announced Content-Length in bytes; 0 if there is none.
         keep_alive: Whether the client allows further requests on the connection.
         rejection: Status and reason, if it is rejected.
+        refused: Whether it is refused unseen, for lack of memory or because its client may have left.
     """
 
     __slots__ = (
@@ -45,7 +50,9 @@
         "body_length",
         "keep_alive",
         "rejection",
+        "refused",
         "_size",
+        "_head_size",
     )
 
     def __init__(self, received_at: float) -> None:
@@ -59,6 +66,8 @@
         self.body_length = 0
         self.keep_alive = True
         self.rejection: tuple[int, str] | None = None
+        self.refused = False
+        self._head_size = 0  # bytes, once the head is complete
         self._size = 0  # bytes of the head, then bytes of the body and its trailers
 
     def add_url(self, part: bytes) -> None:
@@ -74,7 +83,7 @@
         """Store a header.
 
         Raises:
-            RequestRejected: The head is too large.
+            RequestRejected: The head is too large or has too many fields.
         """
         self._size += len(name) + len(value) + FIELD_SEPARATORS_SIZE
         if self._size > MAX_HEAD_BYTES:
@@ -83,6 +92,8 @@
         if lower in self.headers and lower.startswith(b"x-"):
             self.duplicate_header = lower
         self.headers[lower] = value
+        if len(self.headers) > MAX_HEADER_FIELDS or len(self.forwarded_headers) > MAX_HEADER_FIELDS:
+            raise RequestRejected(431, "too many header fields")
         if lower not in HEADERS_NOT_FORWARDED:
             self.forwarded_headers.append(b"%b: %b\r\n" % (name, value))
 
@@ -105,7 +116,7 @@
         Raises:
             RequestRejected: Its transfer coding is not supported, or its body is too large.
         """
-        self.method, self._size = method, 0
+        self.method, self._head_size, self._size = method, self._size, 0
         coding = self.headers.get(b"transfer-encoding")
         if coding is not None and (coding.lower() != b"chunked" or http_version == "1.0"):
             raise RequestRejected(501, "Transfer-Encoding")  # the parser accepts codings not decoded here
@@ -129,6 +140,23 @@
             self.body = bytearray(self.body)
         self.body += part
 
+    def refuse(self) -> None:
+        """Mark the request as refused and drop its content; a rejection stays one."""
+        self.refused = True
+        self.url = self.body = b""
+        self.headers.clear()
+        self.forwarded_headers.clear()
+        self._head_size = self._size = 0
+
+    def memory(self) -> int:
+        """Estimated bytes of memory that this request takes."""
+        return (
+            REQUEST_OVERHEAD
+            + FIELD_OVERHEAD * len(self.headers)
+            + FIELD_COPIES * (self._head_size + self._size)
+            + len(self.body)
+        )
+
     def missing_body_bytes(self) -> int:
         """How many bytes of the announced body have not been received yet."""
         return max(0, self.body_length - len(self.body))
--- a/wrenladder/proxy/input_buffer.py
+++ b/wrenladder/proxy/input_buffer.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 # Seconds within which input counts as received with the first of it, so that many small pieces are stored as
 # few large ones.
 MERGE_INTERVAL = 0.02
@@ -28,7 +26,7 @@
 
     def __init__(self) -> None:
         self.size = 0
-        self._pieces: deque[_Piece] = deque()
+        self._pieces: list[_Piece] = []
 
     def append(self, now: float, data: bytes) -> None:
         """Add input that was read at `now` (event loop time in seconds)."""
@@ -44,7 +42,7 @@
         end = piece.taken + limit
         data = bytes(piece.data[piece.taken : end])
         if end >= len(piece.data):
-            self._pieces.popleft()
+            self._pieces.pop(0)
         else:
             piece.taken = end
         self.size -= len(data)
--- /dev/null
+++ b/wrenladder/proxy/memory_budget.py
@@ -0,0 +1,72 @@
+"""One bound on the memory that all connections together hold for messages."""
+
+from __future__ import annotations
+
+import math
+import resource
+from typing import Protocol
+
+MEBIBYTE = 1 << 20
+BYTES_PER_KIBIBYTE = 1024  # the system reports the resident memory in KiB
+# Of the memory that is free at the start: the rest is for connections, quota accounts, the worker list and
+# fragmentation.
+MESSAGE_SHARE = 0.2
+MIN_BUDGET = MEBIBYTE // 2  # bytes, however little memory is free
+RELIEF_SHARE = 0.875  # of the budget: what is held once others have been shed
+TIGHT_SHARE = 0.5  # of the budget: what is held from which memory counts as tight
+
+
+class Holder(Protocol):
+    """Something that holds memory for messages."""
+
+    def shed(self) -> bool:
+        """Release the memory by giving up an unfinished message; False if that is not allowed now."""
+
+
+class MemoryBudget:
+    """The bytes that connections hold for messages, and their limit.
+
+    Every single message is bounded, but hundreds of connections can hold one each. Over the limit, the
+    holders of the largest messages are asked to give them up, in the order in which they came: a client that
+    has stopped in the middle of a request holds it the longest.
+    """
+
+    def __init__(self, limit: float = math.inf) -> None:
+        self._limit = limit
+        self._held: dict[Holder, int] = {}
+        self._total = 0
+
+    @classmethod
+    def of_free_memory(cls, memory_limit: int) -> MemoryBudget:
+        """A share of what the process has not used yet of `memory_limit` bytes."""
+        resident = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * BYTES_PER_KIBIBYTE
+        return cls(max(MIN_BUDGET, MESSAGE_SHARE * (memory_limit - resident)))
+
+    @property
+    def is_tight(self) -> bool:
+        """Whether so much is held that little more should be read."""
+        return self._total > TIGHT_SHARE * self._limit
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether more is held than the limit."""
+        return self._total > self._limit
+
+    def update(self, holder: Holder, size: int) -> bool:
+        """Set how many bytes `holder` holds; return whether there is room for it."""
+        held = self._held.pop(holder, 0) if not size else self._held.get(holder, 0)
+        if size:
+            self._held[holder] = size
+        self._total += size - held
+        if self.is_exceeded and size > held:
+            self._shed_others(holder)
+        return not (size and self.is_exceeded)
+
+    def _shed_others(self, requester: Holder) -> None:
+        """Shed holders of more than the average, the oldest first, until there is some room."""
+        average = self._total / len(self._held)
+        for holder, size in list(self._held.items()):
+            if self._total <= RELIEF_SHARE * self._limit:
+                return
+            if holder is not requester and size >= average:
+                holder.shed()
--- a/wrenladder/proxy/server.py
+++ b/wrenladder/proxy/server.py
@@ -13,6 +13,7 @@
 from wrenladder.proxy.bridge import Bridge
 from wrenladder.proxy.client_connection import ClientConnection
 from wrenladder.proxy.incoming_request import IncomingRequest, RequestRejected
+from wrenladder.proxy.memory_budget import MemoryBudget
 from wrenladder.proxy.socket_state import disconnected
 from wrenladder.proxy.turn_scheduler import TurnScheduler
 
@@ -22,6 +23,8 @@
 DISCONNECT_POLL_INTERVAL = 0.02
 MAX_EVICTION_CANDIDATES = 8  # oldest connections without a valid request that are checked for unread input
 MAX_OVERFLOW_CONNECTIONS = 24  # beyond the connection limit; their first request is refused with a reply
+READ_SIZE = 64 * 1024  # bytes that are read at once from a client
+TIGHT_READ_SIZE = 1024  # bytes, while memory is tight
 REFUSAL_RETRY_AFTER = 0.1  # seconds that a refusal for lack of connections or memory advises at most
 MAX_CACHED_WEIGHTS = 256  # parsed values of X-Weight
 MAX_TIMEOUT = 86400.0  # seconds; a request with a longer X-Timeout is rejected
@@ -42,8 +45,10 @@
         connection_limit: int,
         idle_client_limit: int,
         bridge: Bridge,
+        memory: MemoryBudget | None = None,
     ) -> None:
-        self.loop, self.bridge = loop, bridge
+        self.loop, self.bridge, self.memory = loop, bridge, memory or MemoryBudget()
+        self._read_buffer = memoryview(bytearray(READ_SIZE))  # for all clients: input is taken out at once
         self.scheduler = TurnScheduler(loop)
         retry_after = min(REFUSAL_RETRY_AFTER, settings.max_retry_after)
         self.refusal_headers = b"Retry-After: %.3f\r\n" % retry_after if retry_after > 0 else b""
@@ -122,6 +127,10 @@
         """The client with a valid request whose connection has been idle the longest."""
         return next((client for client in self._with_valid_request if client.can_close()), None)
 
+    def read_buffer(self) -> memoryview:
+        """The buffer for the next input of any client; while memory is tight, only a small part of it."""
+        return self._read_buffer[:TIGHT_READ_SIZE] if self.memory.is_tight else self._read_buffer
+
     def pause_reading(self, client: ClientConnection, transport: asyncio.Transport) -> None:
         """Pause reading from a client, and poll its socket for a disconnect meanwhile."""
         transport.pause_reading()
--- a/wrenladder/proxy/service.py
+++ b/wrenladder/proxy/service.py
@@ -18,6 +18,7 @@
 from wrenladder.proxy.discovery_messages import WorkerListUpdate
 from wrenladder.proxy.discovery_timing import LOCAL_AGENT_TIMING, SHARED_SERVICE_TIMING
 from wrenladder.proxy.discovery_watch import DiscoveryWatch
+from wrenladder.proxy.memory_budget import MemoryBudget
 from wrenladder.proxy.server import Server
 from wrenladder.proxy.shutdown import ShutdownTiming
 from wrenladder.proxy.worker_pool import WorkerPool
@@ -52,12 +53,14 @@
         self._stop = asyncio.Event()
         connection_limit = max(MIN_CONNECTIONS, config.descriptor_limit - RESERVED_DESCRIPTORS)
         client_limit = int(connection_limit * CLIENT_SHARE)
+        memory = MemoryBudget.of_free_memory(config.memory_limit)
         self._worker_pool = WorkerPool(
             loop,
             connection_limit - client_limit,
             config.connect_timeout,
             config.worker_idle_timeout,
             config.drain_grace,
+            memory=memory,
         )
         policy = Gateway(config.settings, config.seed, loop.time())
         self._bridge = Bridge(loop, config.settings, policy, self._worker_pool)
@@ -68,6 +71,7 @@
             client_limit,
             int(config.descriptor_limit * IDLE_CLIENT_SHARE),
             self._bridge,
+            memory,
         )
         sweep_interval = SWEEP_IDLE_SHARE * config.worker_idle_timeout
         self._sweep_interval = max(MIN_SWEEP_INTERVAL, min(MAX_SWEEP_INTERVAL, sweep_interval))
--- a/wrenladder/proxy/worker_connection.py
+++ b/wrenladder/proxy/worker_connection.py
@@ -18,7 +18,12 @@
     UNREACHABLE,
 )
 from wrenladder.proxy.attempt import Attempt, WorkerResponse
-from wrenladder.proxy.http_limits import HOP_BY_HOP_HEADERS, MAX_HEAD_BYTES, RAW_SIZE_FACTOR
+from wrenladder.proxy.http_limits import (
+    HOP_BY_HOP_HEADERS,
+    MAX_HEAD_BYTES,
+    MAX_HEADER_FIELDS,
+    RAW_SIZE_FACTOR,
+)
 
 if TYPE_CHECKING:
     from wrenladder.proxy.worker_pool import WorkerPool, WorkerProcess
@@ -45,10 +50,12 @@
         "_idle_time",
         "_parser",
         "_response",
-        "_body_parts",
+        "_body",
+        "_accounted_bytes",
         "_parsed_size",
         "_raw_size",
         "_interim_count",
+        "_header_count",
         "_flushed",
         "_head_complete",
         "_body_framed",
@@ -67,12 +74,13 @@
         self._idle_time: float | None = None  # before this attempt; None: the connection is new
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._closed = False
+        self._accounted_bytes = 0  # of an incomplete response
         self._reset()
 
     def _reset(self) -> None:
         self._response = WorkerResponse()
-        self._body_parts: list[bytes] = []
-        self._parsed_size = self._raw_size = self._interim_count = 0
+        self._body: bytes | bytearray = b""
+        self._parsed_size = self._raw_size = self._interim_count = self._header_count = 0
         # _flushed: the kernel has taken the whole request. _body_framed: Content-Length or Transfer-Encoding
         # delimits the body. _will_close: the worker has announced that it closes the connection.
         self._flushed = self._head_complete = self._body_framed = self._will_close = self._complete = False
@@ -127,6 +135,19 @@
         ):
             # Bounds memory: the parser buffers a header or trailer and reports it only once it is complete.
             self._abort_attempt(MALFORMED_RESPONSE)
+        elif not self._account_memory(len(self._body)):
+            self._abort_attempt(MALFORMED_RESPONSE)
+
+    def _account_memory(self, size: int) -> bool:
+        """Account for the memory of an incomplete response; return whether the budget allows it."""
+        if size == self._accounted_bytes:
+            return True
+        self._accounted_bytes = size
+        return self._pool.memory.update(self, size)
+
+    def shed(self) -> bool:
+        """Never give up a response: its request may have run."""
+        return False
 
     def eof_received(self) -> bool:
         """Handle the end of the worker's stream, which completes a response delimited by close.
@@ -162,6 +183,9 @@
             raise ResponseTooLarge
         if self._head_complete:
             return
+        self._header_count += 1
+        if self._header_count > MAX_HEADER_FIELDS:
+            raise ResponseTooLarge
         lower = name.lower()
         if lower == b"x-not-processed":
             self._response.not_processed = value.strip() == b"1"
@@ -192,7 +216,12 @@
         self._parsed_size += len(data)
         if self._parsed_size > MAX_HEAD_BYTES + self._pool.max_body_bytes:
             raise ResponseTooLarge
-        self._body_parts.append(data)
+        if not self._body:
+            self._body = data
+            return
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Complete the response, or prepare for the next one if this one is interim (1xx)."""
@@ -207,7 +236,7 @@
             self._raw_size = 0
             return
         self._complete = True
-        self._response.body = b"".join(self._body_parts)
+        self._response.body = bytes(self._body)
         self._reusable = (
             self._reusable and cast(httptools.HttpResponseParser, self._parser).should_keep_alive()
         )
@@ -216,6 +245,7 @@
 
     def _finish_attempt(self) -> None:
         """Return the connection to the pool or close it, then report the complete response."""
+        self._account_memory(0)
         attempt, response = self.attempt, self._response
         reusable = self._reusable and self._flushed and not self._closed
         self.attempt = None
@@ -236,6 +266,7 @@
 
     def _abort_attempt(self, status: str) -> None:
         attempt, self.attempt = self.attempt, None
+        self._account_memory(0)
         self.close()
         if attempt is not None:
             attempt.finish(status)
@@ -245,6 +276,7 @@
         if self._closed:
             return
         self._closed = True
+        self._account_memory(0)
         if self.transport is not None:
             self.transport.abort()
         elif self.connect_task is not None:
--- a/wrenladder/proxy/worker_pool.py
+++ b/wrenladder/proxy/worker_pool.py
@@ -11,6 +11,7 @@
 from wrenladder.proxy.discovery_messages import Endpoint
 from wrenladder.proxy.http_limits import MAX_BODY_BYTES
 from wrenladder.proxy.idle_timeout import AdaptiveIdleTimeout
+from wrenladder.proxy.memory_budget import MemoryBudget
 from wrenladder.proxy.socket_state import has_unread_input
 from wrenladder.proxy.worker_connection import WorkerConnection
 
@@ -55,8 +56,9 @@
         worker_idle_timeout: float,
         drain_grace: float,
         max_body_bytes: int = MAX_BODY_BYTES,
+        memory: MemoryBudget | None = None,
     ) -> None:
-        self.loop, self.max_body_bytes = loop, max_body_bytes
+        self.loop, self.max_body_bytes, self.memory = loop, max_body_bytes, memory or MemoryBudget()
         self._max_connections, self._connect_timeout, self._drain_grace = (
             max_connections,
             connect_timeout,
