A request id that comes again after its client has left does not run twice

What callers saw: a place-order whose client had left ran again when its id came again on another connection.

Cause: the only check was Bridge.has_request, which knows a request until its last attempt has ended. A few milliseconds later the same id was a new request.

Evidence: tests/test_races.py::test_request_id_that_comes_again_after_its_client_left_does_not_run_twice failed in all 3 kinds of disconnect: the second request got 200 and the worker ran it twice.

Change: the policy remembers, for twice the longest deadline, which requests of classes that are not pure may have run (RunHistory). Such an id gets 'failed', which promises nothing. An id whose attempts all turned out not to have run is forgotten at once, so a repeat of it is served.

--- a/wrenladder/policy/request_lifecycle.py
+++ b/wrenladder/policy/request_lifecycle.py
@@ -28,6 +28,7 @@
     WorkerList,
 )
 from wrenladder.policy.quotas import Account, Quotas
+from wrenladder.policy.run_history import RunHistory
 from wrenladder.policy.settings import PURE, SIDE_EFFECT, TOKEN, RequestClass, Settings
 from wrenladder.policy.throttle import Throttle
 from wrenladder.policy.worker_selection import STALL_FACTOR, Fleet
@@ -38,6 +39,9 @@
 MAX_RETRY_AFTER_SHARE = 0.2  # longest wait that a refusal advises, as a share of the latency target
 INITIAL_TIMEOUT_SAMPLES = 32  # initial timeouts kept for each request class
 TIMEOUT_TOLERANCE = 0.02  # timeouts closer than this share of the class's deadline count as equal
+# Times the longest deadline: how long it is remembered that a request may have run. It may run until its
+# deadline, and its repeat may come as late after that as a client waits.
+RUN_RETENTION_DEADLINES = 2.0
 
 
 class Attempt:
@@ -108,6 +112,7 @@
         prices, worths = [p.price for p in settings.plans], [c.worth for c in settings.classes]
         self.quotas = Quotas(now, self._random, sum(prices) * sum(worths) / len(prices) / len(worths))
         self.fleet = Fleet(settings, self._random, now)
+        self._run_history = RunHistory(RUN_RETENTION_DEADLINES * max(c.deadline for c in settings.classes))
         self._pending: dict[str, PendingRequest] = {}
         self._in_flight: dict[tuple[str, int], Attempt] = {}
         self._timers: dict[int, tuple[str, str, int]] = {}  # by id: kind, request, attempt number
@@ -161,6 +166,9 @@
         if request_class is None or plan is None or time_left <= self._settings.time_step:
             self._actions.append(Refuse(event.request_id, 0.0))
             return
+        if request_class.effect != PURE and self._run_history.may_have_run(now, event.request_id):
+            self._actions.append(Fail(event.request_id))
+            return
         account = self.quotas.account(now, event.customer, plan, event.customer_gateway_count)
         account.requested_units += event.units
         pending = PendingRequest(event, request_class, account, now + time_left)
@@ -241,6 +249,8 @@
         pending.attempts.append(attempt)
         pending.account.in_flight += 1
         self._in_flight[request_id, attempt_number] = attempt
+        if request_class.effect != PURE:
+            self._run_history.record_attempt(now, request_id)
         self.fleet.record_sent(now, worker, (request_id, attempt_number), request_class)
         self._actions.append(Send(request_id, worker, connect_within=connect_within))
         attempt.timers.append(
@@ -341,6 +351,8 @@
         for timer_id in attempt.timers:
             self._timers.pop(timer_id, None)
         attempt.status = event.status
+        if event.status in NEVER_RAN:
+            self._run_history.record_never_ran(event.request_id)
         attempt.account.in_flight -= 1
         if event.metered_usage is not None:
             attempt.account.record_meter_reading(now, event.metered_usage, self._settings.meter_period)
