A worker at the address of another one supersedes it, though that one is still listed

What callers saw: work went to the wrong place, or an update ran in two halls, when a new process came up at the address of one that had gone.

Cause: WorkerPool and Fleet know workers by name alone. Until discovery reported the old worker as removed, both were usable, and what was sent to the old one reached the new one: retries bound to the old one's zone or cell ran in another, and idle connections to the address went on under the old name.

Evidence: tests/test_worker_replacement.py::test_retry_does_not_reach_another_zone_through_a_reused_address failed with both kinds of start time (the same id ran at workers of two zones), and so did test_idle_connection_is_not_used_for_a_new_worker_at_its_address. Ruled out: the same name with a new start time, and a removal in the same update, were handled.

Change: AddressOwnership resolves each update of the list before pool and policy see it. The address belongs to the worker that started last, of two that started together to the one listed later; the other counts as removed until it is a new process. The new worker's entry names its predecessor, and the policy sends no attempt again that may have reached a worker outside the request's repeat scope.

Not covered: what is sent after a worker was replaced and before discovery tells so can't be told apart.

--- a/tests/test_worker_replacement.py
+++ b/tests/test_worker_replacement.py
@@ -1,6 +1,7 @@
 """A new worker process at the address of another one is not taken for the old one."""
 
 import pytest
+from policy_driver import PolicyDriver, workers_sent_to
 from stand_ins import (
     StubWorker,
     reset_connection,
@@ -11,6 +12,11 @@
     wait_until_reusable,
 )
 
+from wrenladder.policy.actions import Fail
+from wrenladder.policy.events import CONNECTION_LOST, WorkerEntry, WorkerList
+from wrenladder.proxy.address_ownership import AddressOwnership
+from wrenladder.proxy.discovery_messages import WorkerListUpdate
+
 ZONE_SCOPED_TOKEN = {"Effect": "token", "Group": "zone", "WindowUs": 4_000_000}
 LONG_AGO_MS = 1_000_000_000_000
 
@@ -88,3 +94,65 @@
             assert not other.requests
 
     run_scenario(scenario())
+
+
+class AddressBook:
+    """Applies updates to an AddressOwnership and keeps the workers that are usable."""
+
+    def __init__(self) -> None:
+        self.ownership, self.usable = AddressOwnership(), {}
+
+    def apply(self, *entries: tuple, snapshot: bool = False) -> dict[str, str]:
+        """Apply entries (name, port, start in ms, status); return the ports of the usable workers."""
+        endpoints = [
+            {"name": name, "address": f"h:{port}", "since_ms": since_ms, "status": status}
+            for name, port, since_ms, status in entries
+        ]
+        update = WorkerListUpdate({"index": 1, "snapshot": snapshot, "endpoints": endpoints}, 0.0)
+        resolved = self.ownership.resolve(update)
+        if snapshot:
+            self.usable = {}
+        for endpoint in resolved:
+            if endpoint.entry.state == "healthy":
+                self.usable[endpoint.entry.name] = endpoint.address[1]
+            else:
+                self.usable.pop(endpoint.entry.name, None)
+        return self.usable
+
+
+def test_superseded_worker_stays_out_until_it_is_a_new_process():
+    book = AddressBook()
+    assert book.apply(("old", 1, 0, "up"), ("other", 2, 0, "up"), snapshot=True) == {"old": 1, "other": 2}
+    assert book.apply(("new", 1, 10, "up")) == {"new": 1, "other": 2}
+    for status in ("up", "draining", "up"):  # late news of the old process
+        assert book.apply(("old", 1, 0, status)) == {"new": 1, "other": 2}
+    assert book.apply(("old", 3, 0, "up")) == {"new": 1, "other": 2, "old": 3}
+    assert book.apply(("old", 1, 20, "up")) == {"other": 2, "old": 1}
+    assert book.apply(("old", 1, 20, "removed"), ("new", 1, 30, "up")) == {"other": 2, "new": 1}
+
+
+def test_workers_that_exchange_their_addresses_both_stay_usable():
+    book = AddressBook()
+    book.apply(("a", 1, 0, "up"), ("b", 2, 0, "up"), snapshot=True)
+    assert book.apply(("a", 2, 10, "up"), ("b", 1, 10, "up")) == {"a": 2, "b": 1}
+
+
+@pytest.mark.parametrize("order", [1, -1])
+def test_snapshot_with_two_workers_at_an_address_keeps_the_one_that_started_last(order):
+    entries = [("old", 1, 5, "up"), ("new", 1, 10, "up")][::order]
+    book = AddressBook()
+    assert book.apply(*entries, snapshot=True) == {"new": 1}
+    assert book.apply(("old", 1, 5, "up"), snapshot=True) == {"old": 1}
+
+
+@pytest.mark.parametrize(("new_zone", "may_retry"), [("a", True), ("b", False)])
+def test_request_in_flight_at_a_replaced_worker_is_retried_only_in_the_same_zone(new_zone, may_retry):
+    driver = PolicyDriver()
+    request_id, actions = driver.submit("keyed")
+    (worker,) = workers_sent_to(actions)
+    zone = driver.gateway.fleet.workers[worker].entry.zone
+    new = WorkerEntry("new", zone=zone if new_zone == "a" else "elsewhere", predecessor=worker)
+    driver.handle(WorkerList((WorkerEntry(worker, state="removed"), new)))
+    actions = driver.finish_attempt(request_id, worker, CONNECTION_LOST)
+    assert bool(workers_sent_to(actions)) is may_retry
+    assert may_retry or actions == [Fail(request_id)]
--- a/wrenladder/policy/events.py
+++ b/wrenladder/policy/events.py
@@ -41,6 +41,7 @@
         state: `HEALTHY`, `DRAINING` or `REMOVED`.
         relative_capacity: Its capacity in relation to the others; 0 where it is unknown.
         started_at: When its process started; None where that is long ago.
+        predecessor: The worker that had its address until now, if another one had.
     """
 
     name: str
@@ -49,6 +50,7 @@
     state: str = HEALTHY
     relative_capacity: float = 1.0
     started_at: float | None = None
+    predecessor: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/wrenladder/policy/request_lifecycle.py
+++ b/wrenladder/policy/request_lifecycle.py
@@ -15,6 +15,7 @@
 from wrenladder.policy.events import (
     NEVER_RAN,
     OVERLOADED,
+    REMOVED,
     SUCCESS,
     TIMED_OUT,
     Abandoned,
@@ -47,6 +48,7 @@
 class Attempt:
     """An attempt at a worker; its status is empty while it is in flight.
 
+    `place_uncertain` is set if a worker outside its repeat scope may have got it in place of this one.
     `overload_signalled` is set once its lateness has been reported to the throttle or no longer counts.
     """
 
@@ -57,6 +59,7 @@
         "request_class",
         "sent_at",
         "status",
+        "place_uncertain",
         "overload_signalled",
         "account",
         "timers",
@@ -67,9 +70,18 @@
     ) -> None:
         self.worker, self.zone, self.cell = entry.name, entry.zone, entry.cell
         self.request_class, self.sent_at, self.account = request_class, sent_at, account
-        self.status, self.overload_signalled = "", False
+        self.status, self.place_uncertain, self.overload_signalled = "", False, False
         self.timers: list[int] = []
 
+    def is_repeat_safe_at(self, entry: WorkerEntry) -> bool:
+        """Whether the worker is within the repeat scope of this attempt."""
+        match self.request_class.repeat_scope:
+            case "zone":
+                return entry.zone == self.zone
+            case "cell":
+                return entry.cell == self.cell
+        return True
+
 
 class PendingRequest:
     """An admitted request without a final reply; its deadline is in seconds on the caller's clock."""
@@ -151,6 +163,7 @@
 
     def _handle_worker_list(self, now: float, event: WorkerList) -> None:
         if not event.failed:
+            self._note_replaced_workers(event)
             self.fleet.apply_worker_list(now, event)
             self.throttle.worker_count = self.fleet.usable_worker_count
         if self._settings.must_subscribe and (event.failed or not self._subscribed):
@@ -160,6 +173,17 @@
             else:
                 self._actions.append(Subscribe())
 
+    def _note_replaced_workers(self, event: WorkerList) -> None:
+        """Mark the attempts in flight that a new worker at the same address or name may have got."""
+        for entry in event.entries:
+            replaced = self.fleet.workers.get(entry.predecessor or entry.name)
+            if replaced is None or not replaced.in_flight or entry.state == REMOVED:
+                continue
+            for key in replaced.in_flight:
+                attempt = self._in_flight.get(key)
+                if attempt is not None and not attempt.is_repeat_safe_at(entry):
+                    attempt.place_uncertain = True
+
     def _handle_request(self, now: float, event: Request) -> None:
         request_class, plan = self._classes.get(event.request_class), self._plans.get(event.plan)
         time_left = min(event.time_left, self._latest_deadline - now)
@@ -411,7 +435,7 @@
                 connect_within = (
                     first_possible_run.sent_at + request_class.repeat_window - self._settings.time_step - now
                 )
-                if connect_within <= 0:
+                if connect_within <= 0 or any(a.place_uncertain for a in pending.attempts):
                     return False
                 zone = first_possible_run.zone if request_class.repeat_scope == "zone" else None
                 cell = first_possible_run.cell if request_class.repeat_scope == "cell" else None
--- a/wrenladder/proxy/bridge.py
+++ b/wrenladder/proxy/bridge.py
@@ -29,6 +29,7 @@
 )
 from wrenladder.policy.request_lifecycle import Gateway
 from wrenladder.policy.settings import Settings
+from wrenladder.proxy.address_ownership import AddressOwnership
 from wrenladder.proxy.attempt import Attempt, WorkerResponse
 from wrenladder.proxy.discovery_messages import WorkerListUpdate
 from wrenladder.proxy.worker_pool import WorkerPool
@@ -85,6 +86,7 @@
         self, loop: asyncio.AbstractEventLoop, settings: Settings, policy: Gateway, worker_pool: WorkerPool
     ) -> None:
         self._loop, self._settings, self._policy, self._worker_pool = loop, settings, policy, worker_pool
+        self._address_ownership = AddressOwnership()
         self._requests: dict[str, ProxiedRequest] = {}  # by id
         self._event_queue: deque[tuple[Event, str]] = deque()  # with the id of the request concerned, or ""
         self._dispatching = False
@@ -138,10 +140,9 @@
 
     def apply_worker_list_update(self, update: WorkerListUpdate) -> None:
         """Update the worker pool, and pass the update to the policy."""
-        self._worker_pool.update(update.endpoints, update.is_snapshot)
-        self._dispatch(
-            WorkerList(tuple(e.entry for e in update.endpoints), is_snapshot=update.is_snapshot), ""
-        )
+        endpoints = self._address_ownership.resolve(update)
+        self._worker_pool.update(endpoints, update.is_snapshot)
+        self._dispatch(WorkerList(tuple(e.entry for e in endpoints), is_snapshot=update.is_snapshot), "")
 
     def _dispatch(self, event: Event, request_id: str) -> None:
         """Pass an event to the policy, then all events that result from its actions."""
