The number of quota accounts is bounded, so ever new customer names take no more memory

What callers saw: memory grew without end while a client sent requests under ever new names at full speed.

Cause: Quotas.account opens an account for each customer that a request names, refused or not, and keeps it for 30 s or more: 530 bytes each, at several thousand requests a second.

Change: the process gives the policy the largest number of accounts (15% of the memory that is free at the start). At that limit the oldest account goes for which no request was ever admitted, or else the least recently used one whose ceiling is full, since dropping any other would let its customer exceed the ceiling. If there is none, the request is refused. Below the limit, and in the simulator, nothing changes.

The flooding clients of the tests also send in batches and wait for the replies: those that don't wait are soon refused for good.

--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -24,6 +24,8 @@
 MAX_SOCKETS = 1024
 CLIENT_COUNT = 560  # fewer than the connection limit of the gateway with so many descriptors
 HEALTH_CHECK_COUNT = 5
+CUSTOMER_COUNT = 25_000
+BATCH_SIZE = 100  # requests that are sent at once
 CLIENT_TIMEOUT = 0.75  # seconds that other clients wait for their replies
 
 CHUNKED_HEAD = HttpClient.request_bytes("write").replace(
@@ -145,7 +147,7 @@
         await process.wait()
 
 
-@pytest.mark.parametrize("kind", flooding_client.KINDS)
+@pytest.mark.parametrize("kind", flooding_client.KINDS | flooding_client.WAITING_KINDS)
 @pytest.mark.parametrize("connection_count", [1, 6])
 def test_flood_on_a_connection_does_not_delay_other_clients(kind, connection_count):
     async def scenario():
@@ -164,3 +166,19 @@
             assert memory_status(gateway, "VmHWM") < MIN_MEMORY_MB << 20
 
     run_scenario(scenario())
+
+
+# Guards against memory that grows with the number of names in which a client sends requests.
+def test_requests_in_the_names_of_ever_new_customers_stay_within_the_memory_limit():
+    async def scenario():
+        async with running_gateway(sockets=MAX_SOCKETS, memory_mb=MIN_MEMORY_MB) as (gateway, _, client):
+            for batch in range(CUSTOMER_COUNT // BATCH_SIZE):
+                customers = range(batch * BATCH_SIZE, (batch + 1) * BATCH_SIZE)
+                client.send(b"".join(HttpClient.request_bytes(customer=f"{n:016x}") for n in customers))
+                # Without a worker each request is refused at once, but would leave an account.
+                for _ in customers:
+                    reply = await client.receive()
+                    assert reply.status == 503
+            assert memory_status(gateway, "VmHWM") < MIN_MEMORY_MB << 20
+
+    run_scenario(scenario())
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -9,7 +9,13 @@
     running_gateway,
 )
 
-from wrenladder.proxy.memory_budget import MIN_BUDGET, MemoryBudget
+from wrenladder.proxy.memory_budget import (
+    ACCOUNT_BYTES,
+    MIN_ACCOUNTS,
+    MIN_BUDGET,
+    MemoryBudget,
+    MemoryPlan,
+)
 
 
 class StubHolder:
@@ -46,10 +52,11 @@
 
 
 @pytest.mark.parametrize("memory_limit", [1, 64 << 20, 1 << 40])
-def test_budget_is_a_part_of_the_free_memory_and_at_least_the_minimum(memory_limit):
-    budget = MemoryBudget.of_free_memory(memory_limit)
-    assert budget.update(StubHolder(budget, may_shed=False), MIN_BUDGET)
-    assert not budget.update(StubHolder(budget), max(MIN_BUDGET, memory_limit))
+def test_plan_divides_the_free_memory_and_keeps_the_minima(memory_limit):
+    plan = MemoryPlan.at_start(memory_limit)
+    assert plan.message_bytes >= MIN_BUDGET and plan.max_accounts >= MIN_ACCOUNTS
+    planned = plan.message_bytes + plan.max_accounts * ACCOUNT_BYTES
+    assert planned <= max(memory_limit / 2, MIN_BUDGET + MIN_ACCOUNTS * ACCOUNT_BYTES)
 
 
 # Guards against responses whose tiny chunks take many times their size in memory.
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -4,6 +4,7 @@
 
 from policy_driver import PolicyDriver, workers_sent_to
 
+from wrenladder.policy.actions import Refuse
 from wrenladder.policy.events import Request
 from wrenladder.policy.quotas import (
     BASE_ADMISSION_PROBABILITY,
@@ -35,6 +36,45 @@
     return account
 
 
+CEILING_PLAN = Plan(
+    "capped", quota_rate=3.0, quota_burst=6.0, ceiling_rate=6.0, ceiling_burst=24.0, ceiling_slack=3.0
+)
+LONG_AFTER_START = 100.0  # seconds: a new account's ceiling is full
+
+
+def test_accounts_without_an_admitted_request_are_dropped_first_at_the_limit():
+    quotas = Quotas(0.0, Random(7), max_accounts=3)
+    for customer in ("admitted", "refused", "other"):
+        account = quotas.account(LONG_AFTER_START, customer, PLAN, 3)
+        if customer != "refused":
+            quotas.consume(account, 1.0, True)
+    level = quotas.account(LONG_AFTER_START, "admitted", PLAN, 3).quota_level
+    assert quotas.account(LONG_AFTER_START, "new", PLAN, 3) is not None
+    assert list(quotas._accounts) == [("other", "metered"), ("admitted", "metered"), ("new", "metered")]
+    assert quotas.account(LONG_AFTER_START, "admitted", PLAN, 3).quota_level == level
+
+
+def test_account_whose_ceiling_is_in_use_is_never_dropped_for_another():
+    quotas, now = Quotas(0.0, Random(7), max_accounts=2), LONG_AFTER_START
+    in_use, in_flight = (quotas.account(now, customer, CEILING_PLAN, 3) for customer in "ab")
+    for account in (in_use, in_flight):
+        quotas.consume(account, 2.0, True)
+    in_flight.in_flight = 1
+    assert quotas.account(now, "new", CEILING_PLAN, 3) is None
+    assert quotas.account(now, "a", CEILING_PLAN, 3) is in_use
+    assert quotas.account(now + 2.0, "new", CEILING_PLAN, 3) is not None  # the ceiling of "a" is full again
+    assert quotas.account(now + 2.0, "b", CEILING_PLAN, 3) is in_flight
+
+
+def test_request_of_a_new_customer_is_refused_while_there_is_no_room_for_its_account():
+    driver = PolicyDriver()
+    driver.gateway.quotas._max_accounts = 1
+    driver.advance(LONG_AFTER_START)
+    assert workers_sent_to(driver.submit(plan="capped", customer="a")[1])
+    assert isinstance(driver.submit(plan="capped", customer="b")[1][0], Refuse)
+    assert workers_sent_to(driver.submit(plan="capped", customer="a")[1])
+
+
 def test_new_customer_starts_with_its_share_of_rate_and_burst():
     account = request_units(make_quotas(), 5.0, 0)
     assert (account.slice_rate, account.quota_level) == (1.0, 4.0)
--- a/wrenladder/policy/quotas.py
+++ b/wrenladder/policy/quotas.py
@@ -46,12 +46,14 @@
 # is taken for excess.
 MIN_INTERVAL_RATIO = 0.1
 IDLE_TIMEOUT = 30.0  # seconds after which an idle customer's account may be dropped
+MAX_EVICTION_CANDIDATES = 8  # accounts that are considered for eviction when there are too many
 
 
 class Account:
     """State of one customer at this gateway."""
 
     __slots__ = (
+        "key",
         "plan",
         "gateway_count",
         "burst_share",
@@ -74,8 +76,10 @@
         "last_request_at",
     )
 
-    def __init__(self, plan: Plan, gateway_count: int, now: float, gateway_started_at: float) -> None:
-        self.plan = plan
+    def __init__(
+        self, customer: str, plan: Plan, gateway_count: int, now: float, gateway_started_at: float
+    ) -> None:
+        self.key, self.plan = (customer, plan.name), plan
         self.set_gateway_count(gateway_count)
         self.slice_rate, self.quota_level = self.rate_share, self.burst_share
         # An earlier run of this gateway may have used its share of the ceiling, so the ceiling fills from the
@@ -132,41 +136,76 @@
 class Quotas:
     """Accounts of all customers, and an estimate of what usage beyond the quotas costs.
 
-    `typical_worth` is the worth of a typical request. It sets the weight of the initial estimate.
+    `typical_worth` is the worth of a typical request. It sets the weight of the initial estimate. There are
+    at most `max_accounts` accounts, so that requests in the names of ever new customers take no more memory.
     """
 
-    def __init__(self, now: float, random: Random, typical_worth: float = 1.0) -> None:
-        self._started_at, self._random = now, random
+    def __init__(
+        self, now: float, random: Random, typical_worth: float = 1.0, max_accounts: float = math.inf
+    ) -> None:
+        self._started_at, self._random, self._max_accounts = now, random, max_accounts
         # Decaying sums over the readings: the worth of usage within the quotas, and the cost of the excess.
         self._worth_within_quota = PRIOR_READINGS * typical_worth
         self._excess_cost = TARGET_EXCESS_COST_RATIO * self._worth_within_quota
+        # By customer and plan, the least recently used first.
         self._accounts: OrderedDict[tuple[str, str], Account] = OrderedDict()
+        # Those of them that no request has been admitted for, the oldest first.
+        self._never_admitted: OrderedDict[tuple[str, str], None] = OrderedDict()
 
-    def account(self, now: float, customer: str, plan: Plan, gateway_count: int) -> Account:
+    def account(self, now: float, customer: str, plan: Plan, gateway_count: int) -> Account | None:
         """Return the customer's account, refilled up to now; drop accounts that are idle and full again.
 
         Each plan of a customer has its own account, and a changed number of gateways only moves the bounds.
-        So a request that names a wrong plan or a wrong set of gateways refills no bucket.
+        So a request that names a wrong plan or a wrong set of gateways refills no bucket. None means that
+        there are too many accounts to open one.
         """
         while self._accounts:
-            oldest_key, oldest = next(iter(self._accounts.items()))
+            oldest = next(iter(self._accounts.values()))
             if now - oldest.refilled_at < IDLE_TIMEOUT or oldest.in_flight:
                 break
-            self._refill(now, oldest)
-            if oldest.ceiling_level < oldest.plan.ceiling_burst / oldest.gateway_count:
-                self._accounts.move_to_end(oldest_key)
-            else:
-                del self._accounts[oldest_key]
+            self._drop_if_full(now, oldest)
         key = customer, plan.name
         account = self._accounts.get(key)
         if account is None:
-            account = self._accounts[key] = Account(plan, gateway_count, now, self._started_at)
+            if len(self._accounts) >= self._max_accounts and not self._evict(now):
+                return None
+            account = self._accounts[key] = Account(customer, plan, gateway_count, now, self._started_at)
+            self._never_admitted[key] = None
         elif account.gateway_count != gateway_count:
             account.set_gateway_count(gateway_count)
         self._accounts.move_to_end(key)
         self._refill(now, account)
         return account
 
+    def _drop_if_full(self, now: float, account: Account) -> bool:
+        """Drop an account whose ceiling is full again, or else move it behind all others."""
+        self._refill(now, account)
+        if account.ceiling_level < account.plan.ceiling_burst / account.gateway_count:
+            self._accounts.move_to_end(account.key)
+            return False
+        self._drop(account.key)
+        return True
+
+    def _drop(self, key: tuple[str, str]) -> None:
+        del self._accounts[key]
+        self._never_admitted.pop(key, None)
+
+    def _evict(self, now: float) -> bool:
+        """Make room for an account, at the cost of one that no request was admitted for, if there is one.
+
+        An account whose ceiling is not full is never dropped: with a new one its customer could exceed it.
+        """
+        if self._never_admitted:
+            self._drop(next(iter(self._never_admitted)))
+            return True
+        for _ in range(min(MAX_EVICTION_CANDIDATES, len(self._accounts))):
+            account = next(iter(self._accounts.values()))
+            if account.in_flight:
+                self._accounts.move_to_end(account.key)
+            elif self._drop_if_full(now, account):
+                return True
+        return False
+
     def _refill(self, now: float, account: Account) -> None:
         elapsed, account.refilled_at = now - account.refilled_at, now
         account.quota_level = min(account.burst_share, account.quota_level + elapsed * account.slice_rate)
@@ -288,6 +327,7 @@
 
     def consume(self, account: Account, units: float, within_quota: bool) -> None:
         """Consume the units of a first attempt; they stay consumed if it is not sent, which is rare."""
+        self._never_admitted.pop(account.key, None)
         if account.plan.ceiling_rate:
             account.ceiling_level -= units
         if within_quota and account.plan.quota_rate:
--- a/wrenladder/policy/request_lifecycle.py
+++ b/wrenladder/policy/request_lifecycle.py
@@ -112,17 +112,19 @@
 class Gateway:
     """The decisions of one gateway: `handle` turns an event into actions.
 
-    `seed` makes its random choices reproducible; `now` is the start in seconds on the caller's clock.
+    `seed` makes its random choices reproducible; `now` is the start in seconds on the caller's clock. It
+    keeps accounts of at most `max_accounts` customers.
     """
 
-    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+    def __init__(self, settings: Settings, seed: int, now: float, max_accounts: float = math.inf) -> None:
         self._settings = settings
         self._classes = {c.name: c for c in settings.classes}
         self._plans = {p.name: p for p in settings.plans}
         self._random = Random(seed)
         self.throttle = Throttle(now, len(settings.plans))
         prices, worths = [p.price for p in settings.plans], [c.worth for c in settings.classes]
-        self.quotas = Quotas(now, self._random, sum(prices) * sum(worths) / len(prices) / len(worths))
+        typical_worth = sum(prices) * sum(worths) / len(prices) / len(worths)
+        self.quotas = Quotas(now, self._random, typical_worth, max_accounts)
         self.fleet = Fleet(settings, self._random, now)
         self._run_history = RunHistory(RUN_RETENTION_DEADLINES * max(c.deadline for c in settings.classes))
         self._pending: dict[str, PendingRequest] = {}
@@ -194,6 +196,9 @@
             self._actions.append(Fail(event.request_id))
             return
         account = self.quotas.account(now, event.customer, plan, event.customer_gateway_count)
+        if account is None:
+            self._refuse(event.request_id, request_class.latency_target)
+            return
         account.requested_units += event.units
         pending = PendingRequest(event, request_class, account, now + time_left)
         pending.within_quota = self.quotas.is_within_quota(account, event.units, self.throttle.control_active)
--- a/wrenladder/proxy/memory_budget.py
+++ b/wrenladder/proxy/memory_budget.py
@@ -1,19 +1,46 @@
-"""One bound on the memory that all connections together hold for messages."""
+"""Bounds on memory: for the messages of all connections together, and for quota accounts."""
 
 from __future__ import annotations
 
 import math
 import resource
+from dataclasses import dataclass
 from typing import Protocol
 
 MEBIBYTE = 1 << 20
 BYTES_PER_KIBIBYTE = 1024  # the system reports the resident memory in KiB
-# Of the memory that is free at the start: the rest is for connections, quota accounts, the worker list and
-# fragmentation.
+# Of the memory that is free at the start. The rest is for connections, the worker list and fragmentation.
 MESSAGE_SHARE = 0.2
 MIN_BUDGET = MEBIBYTE // 2  # bytes, however little memory is free
 RELIEF_SHARE = 0.875  # of the budget: what is held once others have been shed
 TIGHT_SHARE = 0.5  # of the budget: what is held from which memory counts as tight
+# The same for quota accounts, and an estimate of the bytes that an account takes.
+ACCOUNT_SHARE = 0.15
+ACCOUNT_BYTES = 640
+MIN_ACCOUNTS = 512  # however little memory is free
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryPlan:
+    """How the memory that is free at the start is divided.
+
+    Attributes:
+        message_bytes: For messages, in bytes.
+        max_accounts: Most quota accounts.
+    """
+
+    message_bytes: float
+    max_accounts: int
+
+    @classmethod
+    def at_start(cls, memory_limit: int) -> MemoryPlan:
+        """Divide what the process has not used yet of `memory_limit` bytes."""
+        resident = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * BYTES_PER_KIBIBYTE
+        free = max(0, memory_limit - resident)
+        return cls(
+            message_bytes=max(MIN_BUDGET, MESSAGE_SHARE * free),
+            max_accounts=max(MIN_ACCOUNTS, int(ACCOUNT_SHARE * free / ACCOUNT_BYTES)),
+        )
 
 
 class Holder(Protocol):
@@ -36,12 +63,6 @@
         self._held: dict[Holder, int] = {}
         self._total = 0
 
-    @classmethod
-    def of_free_memory(cls, memory_limit: int) -> MemoryBudget:
-        """A share of what the process has not used yet of `memory_limit` bytes."""
-        resident = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * BYTES_PER_KIBIBYTE
-        return cls(max(MIN_BUDGET, MESSAGE_SHARE * (memory_limit - resident)))
-
     @property
     def is_tight(self) -> bool:
         """Whether so much is held that little more should be read."""
--- a/wrenladder/proxy/service.py
+++ b/wrenladder/proxy/service.py
@@ -18,7 +18,7 @@
 from wrenladder.proxy.discovery_messages import WorkerListUpdate
 from wrenladder.proxy.discovery_timing import LOCAL_AGENT_TIMING, SHARED_SERVICE_TIMING
 from wrenladder.proxy.discovery_watch import DiscoveryWatch
-from wrenladder.proxy.memory_budget import MemoryBudget
+from wrenladder.proxy.memory_budget import MemoryBudget, MemoryPlan
 from wrenladder.proxy.server import Server
 from wrenladder.proxy.shutdown import ShutdownTiming
 from wrenladder.proxy.worker_pool import WorkerPool
@@ -53,7 +53,8 @@
         self._stop = asyncio.Event()
         connection_limit = max(MIN_CONNECTIONS, config.descriptor_limit - RESERVED_DESCRIPTORS)
         client_limit = int(connection_limit * CLIENT_SHARE)
-        memory = MemoryBudget.of_free_memory(config.memory_limit)
+        memory_plan = MemoryPlan.at_start(config.memory_limit)
+        memory = MemoryBudget(memory_plan.message_bytes)
         self._worker_pool = WorkerPool(
             loop,
             connection_limit - client_limit,
@@ -62,7 +63,7 @@
             config.drain_grace,
             memory=memory,
         )
-        policy = Gateway(config.settings, config.seed, loop.time())
+        policy = Gateway(config.settings, config.seed, loop.time(), memory_plan.max_accounts)
         self._bridge = Bridge(loop, config.settings, policy, self._worker_pool)
         self._server = Server(
             loop,
