--- a/wrenladder/policy/request_lifecycle.py
+++ b/wrenladder/policy/request_lifecycle.py
@@ -126,7 +126,9 @@
         typical_worth = sum(prices) * sum(worths) / len(prices) / len(worths)
         self.quotas = Quotas(now, self._random, typical_worth, max_accounts)
         self.fleet = Fleet(settings, self._random, now)
-        self._run_history = RunHistory(RUN_RETENTION_DEADLINES * max(c.deadline for c in settings.classes))
+        self._run_history = RunHistory(
+            now, RUN_RETENTION_DEADLINES * max(c.deadline for c in settings.classes)
+        )
         self._pending: dict[str, PendingRequest] = {}
         self._in_flight: dict[tuple[str, int], Attempt] = {}
         self._timers: dict[int, tuple[str, str, int]] = {}  # by id: kind, request, attempt number
@@ -192,7 +194,7 @@
         if request_class is None or plan is None or time_left <= self._settings.time_step:
             self._actions.append(Refuse(event.request_id, 0.0))
             return
-        if request_class.effect != PURE and self._run_history.may_have_run(now, event.request_id):
+        if request_class.effect != PURE and self._run_history.may_have_run(event.request_id):
             self._actions.append(Fail(event.request_id))
             return
         account = self.quotas.account(now, event.customer, plan, event.customer_gateway_count)
--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -59,7 +59,6 @@
         "_transport",
         "_parser",
         "_incoming",
-        "_head_complete",
         "_input",
         "_read_at",
         "_queue",
@@ -85,7 +84,6 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._incoming: IncomingRequest | None = None  # the request being received
-        self._head_complete = False
         self._input = InputBuffer()  # read, but not parsed yet
         self._read_at = 0.0  # when the input being parsed was read
         self._queue: list[IncomingRequest] = []  # received requests that wait for their turn, a few
@@ -152,11 +150,12 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to read the next input into."""
-        return self._server.read_buffer()
+        server = self._server
+        return server.tight_read_buffer if server.memory.is_tight else server.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process input that has been read into the buffer."""
-        self.data_received(bytes(self._server.read_buffer()[:nbytes]))
+        self.data_received(bytes(self._server.read_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Store input, and process the first request in it unless earlier ones wait."""
@@ -242,7 +241,7 @@
         size = self._input.size + self._in_flight_bytes
         if self._incoming is not None:
             size += self._incoming.memory()
-            if not self._head_complete:
+            if not self._incoming.head_complete:
                 size += self._unfinished_bytes  # the parser holds them until a header is complete
         for incoming in self._queue:
             size += incoming.memory()
@@ -268,7 +267,7 @@
 
     def _parse_size(self) -> int:
         """How many bytes to parse in one call."""
-        if self._head_complete and self._incoming is not None:
+        if self._incoming is not None and self._incoming.head_complete:
             return max(PARSE_SIZE, self._incoming.missing_body_bytes())
         return TIGHT_PARSE_SIZE if self._server.memory.is_tight else PARSE_SIZE
 
@@ -278,11 +277,8 @@
         self._unfinished_bytes += len(data)
         try:
             cast(httptools.HttpRequestParser, self._parser).feed_data(data)
-            # The parser buffers a whole header or trailer before it reports it: this bounds its memory.
-            if self._unfinished_bytes > MAX_HEAD_BYTES + RAW_SIZE_FACTOR * MAX_BODY_BYTES or (
-                self._unfinished_bytes > 2 * MAX_HEAD_BYTES and not self._head_complete
-            ):
-                self._reject_incoming(431, "head too large")
+            if self._unfinished_bytes > MAX_HEAD_BYTES or self._incoming is not None:
+                self._check_unfinished_request()
         except httptools.HttpParserUpgrade:
             pass  # rejected when its head was complete
         except httptools.HttpParserError as error:
@@ -293,6 +289,19 @@
                 str(cause) if is_rejection else "malformed request",
             )
 
+    def _check_unfinished_request(self) -> None:
+        """Reject what could take unbounded memory while it is incomplete."""
+        incoming = self._incoming
+        if incoming is not None and incoming.has_too_many_fields():
+            self._reject_incoming(431, "too many header fields")
+            return
+        # The parser buffers a whole header or trailer before it reports it: this bounds its memory.
+        limit = 2 * MAX_HEAD_BYTES
+        if incoming is not None and incoming.head_complete:
+            limit = MAX_HEAD_BYTES + RAW_SIZE_FACTOR * MAX_BODY_BYTES
+        if self._unfinished_bytes > limit:
+            self._reject_incoming(431, "head too large")
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -303,26 +312,26 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        cast(IncomingRequest, self._incoming).add_url(url)
+        if self._incoming is not None:
+            self._incoming.add_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are counted and ignored."""
-        incoming = cast(IncomingRequest, self._incoming)
-        if self._head_complete:
-            incoming.add_trailer(name, value)
-        else:
-            incoming.add_header(name, value)
+        if self._incoming is not None:
+            self._incoming.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the request's head."""
         incoming = cast(IncomingRequest, self._incoming)
-        self._head_complete, self._unfinished_bytes = True, 0
+        self._unfinished_bytes = 0
         parser = cast(httptools.HttpRequestParser, self._parser)
+        incoming.head_complete = True
         if parser.should_upgrade():
             raise RequestRejected(501, "no upgrade is served")
-        if parser.get_http_version() not in SUPPORTED_HTTP_VERSIONS:
+        version = parser.get_http_version()
+        if version not in SUPPORTED_HTTP_VERSIONS:
             raise RequestRejected(505, "HTTP version")
-        incoming.complete_head(parser.get_method(), parser.get_http_version())
+        incoming.complete_head(parser.get_method(), version)
         if (
             incoming.headers.get(b"expect", b"").lower() == b"100-continue"
             and not self._queue
@@ -338,7 +347,7 @@
         """Queue the complete request."""
         incoming, self._incoming = cast(IncomingRequest, self._incoming), None
         incoming.keep_alive = cast(httptools.HttpRequestParser, self._parser).should_keep_alive()
-        self._head_complete, self._unfinished_bytes = False, 0
+        self._unfinished_bytes = 0
         if self._input_overrun:
             incoming.refuse()
         self._queue.append(incoming)
--- a/wrenladder/proxy/incoming_request.py
+++ b/wrenladder/proxy/incoming_request.py
@@ -27,6 +27,7 @@
 
     Attributes:
         received_at: When its first byte was read, on the event loop's clock in seconds.
+        head_complete: Whether the whole head has been received.
         method: Its method, known once the head is complete.
         url: Its request target.
         headers: Values by lower-case name; of a name that occurs twice the last one.
@@ -41,6 +42,7 @@
 
     __slots__ = (
         "received_at",
+        "head_complete",
         "method",
         "url",
         "headers",
@@ -57,6 +59,7 @@
 
     def __init__(self, received_at: float) -> None:
         self.received_at = received_at
+        self.head_complete = False
         self.method = b""
         self.url = b""
         self.headers: dict[bytes, bytes] = {}
@@ -77,46 +80,43 @@
             RequestRejected: The head is too large.
         """
         self.url += part
-        self._count_head_bytes(len(part))
+        self._size += len(part)
+        if self._size > MAX_HEAD_BYTES:
+            raise RequestRejected(431, "head too large")
 
     def add_header(self, name: bytes, value: bytes) -> None:
-        """Store a header.
+        """Store a header; trailers are counted and ignored.
 
         Raises:
-            RequestRejected: The head is too large or has too many fields.
+            RequestRejected: The head, or the body with its trailers, is too large.
         """
         self._size += len(name) + len(value) + FIELD_SEPARATORS_SIZE
         if self._size > MAX_HEAD_BYTES:
             raise RequestRejected(431, "head too large")
+        if self.head_complete:
+            return
         lower = name.lower()
         if lower in self.headers and lower.startswith(b"x-"):
             self.duplicate_header = lower
         self.headers[lower] = value
-        if len(self.headers) > MAX_HEADER_FIELDS or len(self.forwarded_headers) > MAX_HEADER_FIELDS:
-            raise RequestRejected(431, "too many header fields")
         if lower not in HEADERS_NOT_FORWARDED:
             self.forwarded_headers.append(b"%b: %b\r\n" % (name, value))
 
-    def add_trailer(self, name: bytes, value: bytes) -> None:
-        """Count a trailer, which is not forwarded.
-
-        Raises:
-            RequestRejected: The trailers, together with the body, are too large.
-        """
-        self._count_head_bytes(len(name) + len(value) + FIELD_SEPARATORS_SIZE)
-
-    def _count_head_bytes(self, size: int) -> None:
-        self._size += size
-        if self._size > MAX_HEAD_BYTES:
-            raise RequestRejected(431, "head too large")
+    def has_too_many_fields(self) -> bool:
+        """Whether the head has more fields than are accepted; those that are not forwarded don't count."""
+        return len(self.forwarded_headers) > MAX_HEADER_FIELDS
 
     def complete_head(self, method: bytes, http_version: str) -> None:
         """Check the complete head.
 
         Raises:
-            RequestRejected: Its transfer coding is not supported, or its body is too large.
+            RequestRejected: It has too many fields, or its transfer coding is not supported, or its body is
+                too large.
         """
         self.method, self._head_size, self._size = method, self._size, 0
+        self.head_complete = True
+        if self.has_too_many_fields():
+            raise RequestRejected(431, "too many header fields")
         coding = self.headers.get(b"transfer-encoding")
         if coding is not None and (coding.lower() != b"chunked" or http_version == "1.0"):
             raise RequestRejected(501, "Transfer-Encoding")  # the parser accepts codings not decoded here
--- a/wrenladder/proxy/memory_budget.py
+++ b/wrenladder/proxy/memory_budget.py
@@ -62,16 +62,8 @@
         self._limit = limit
         self._held: dict[Holder, int] = {}
         self._total = 0
-
-    @property
-    def is_tight(self) -> bool:
-        """Whether so much is held that little more should be read."""
-        return self._total > TIGHT_SHARE * self._limit
-
-    @property
-    def is_exceeded(self) -> bool:
-        """Whether more is held than the limit."""
-        return self._total > self._limit
+        self.is_tight = False  # so much is held that little more should be read
+        self.is_exceeded = False  # more is held than the limit
 
     def update(self, holder: Holder, size: int) -> bool:
         """Set how many bytes `holder` holds; return whether there is room for it."""
@@ -79,6 +71,8 @@
         if size:
             self._held[holder] = size
         self._total += size - held
+        self.is_tight = self._total > TIGHT_SHARE * self._limit
+        self.is_exceeded = self._total > self._limit
         if self.is_exceeded and size > held:
             self._shed_others(holder)
         return not (size and self.is_exceeded)
--- a/wrenladder/proxy/server.py
+++ b/wrenladder/proxy/server.py
@@ -48,7 +48,10 @@
         memory: MemoryBudget | None = None,
     ) -> None:
         self.loop, self.bridge, self.memory = loop, bridge, memory or MemoryBudget()
-        self._read_buffer = memoryview(bytearray(READ_SIZE))  # for all clients: input is taken out at once
+        # The buffer that input is read into, from all clients, since it is taken out at once; and the part of
+        # it that is used while memory is tight.
+        self.read_buffer = memoryview(bytearray(READ_SIZE))
+        self.tight_read_buffer = self.read_buffer[:TIGHT_READ_SIZE]
         self.scheduler = TurnScheduler(loop)
         retry_after = min(REFUSAL_RETRY_AFTER, settings.max_retry_after)
         self.refusal_headers = b"Retry-After: %.3f\r\n" % retry_after if retry_after > 0 else b""
@@ -127,10 +130,6 @@
         """The client with a valid request whose connection has been idle the longest."""
         return next((client for client in self._with_valid_request if client.can_close()), None)
 
-    def read_buffer(self) -> memoryview:
-        """The buffer for the next input of any client; while memory is tight, only a small part of it."""
-        return self._read_buffer[:TIGHT_READ_SIZE] if self.memory.is_tight else self._read_buffer
-
     def pause_reading(self, client: ClientConnection, transport: asyncio.Transport) -> None:
         """Pause reading from a client, and poll its socket for a disconnect meanwhile."""
         transport.pause_reading()
