--- a/wrenladder/policy/worker_selection.py
+++ b/wrenladder/policy/worker_selection.py
@@ -275,6 +275,8 @@
 
     def _is_healthy(self, now: float, worker: Worker) -> bool:
         """Whether a worker is neither ejected, nor busy with a trial after a failure, nor stalled."""
+        if not worker.in_flight:
+            return not worker.consecutive_failures or now >= worker.ejected_until
         if worker.consecutive_failures and (
             now < worker.ejected_until or self._queued_send_times(now, worker)
         ):
