The log tells why requests are refused or sent again, and connections closed

The logs of the incident held nothing but 'listens' lines, so neither memory nor floods could be told from them. Now counts with reasons and a few request ids are logged every 10 s and at the exit, with the number of clients, the bytes held for messages and the peak memory. Nothing is recorded for a request that is served at the first attempt.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -19,6 +19,7 @@
     UNREACHABLE,
     Abandoned,
 )
+from wrenladder.proxy.activity_log import ActivityLog
 from wrenladder.proxy.client_connection import TRANSFER_TIMEOUT, ClientConnection
 from wrenladder.proxy.discovery_watch import DiscoveryConnection
 from wrenladder.proxy.idle_timeout import AdaptiveIdleTimeout
@@ -77,6 +78,7 @@
         remove=lambda connection: None,
         max_body_bytes=65536,
         memory=MemoryBudget(),
+        activity=ActivityLog(),
         on_connected=lambda: None,
         on_failure=lambda connection, reason: None,
     )
--- a/wrenladder/proxy/bridge.py
+++ b/wrenladder/proxy/bridge.py
@@ -29,6 +29,7 @@
 )
 from wrenladder.policy.request_lifecycle import Gateway
 from wrenladder.policy.settings import Settings
+from wrenladder.proxy.activity_log import ActivityLog
 from wrenladder.proxy.address_ownership import AddressOwnership
 from wrenladder.proxy.attempt import Attempt, WorkerResponse
 from wrenladder.proxy.discovery_messages import WorkerListUpdate
@@ -83,8 +84,14 @@
     """Passes events to the policy, and executes its actions on the sockets."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, settings: Settings, policy: Gateway, worker_pool: WorkerPool
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: Settings,
+        policy: Gateway,
+        worker_pool: WorkerPool,
+        activity: ActivityLog | None = None,
     ) -> None:
+        self._activity = activity or ActivityLog()
         self._loop, self._settings, self._policy, self._worker_pool = loop, settings, policy, worker_pool
         self._address_ownership = AddressOwnership()
         self._requests: dict[str, ProxiedRequest] = {}  # by id
@@ -141,6 +148,9 @@
     def apply_worker_list_update(self, update: WorkerListUpdate) -> None:
         """Update the worker pool, and pass the update to the policy."""
         endpoints = self._address_ownership.resolve(update)
+        for endpoint in endpoints:
+            if endpoint.entry.predecessor:
+                self._activity.record(f"worker took over an address: {endpoint.entry.predecessor}")
         self._worker_pool.update(endpoints, update.is_snapshot)
         self._dispatch(WorkerList(tuple(e.entry for e in endpoints), is_snapshot=update.is_snapshot), "")
 
@@ -199,6 +209,7 @@
         """Send the error reply that the policy has asked for, and abort the attempts not written yet."""
         request = self._requests.get(request_id)
         if request is not None:
+            self._activity.record("refused by the policy" if status == 503 else "failed", request_id)
             self._reply(request, status, headers, b"")
             self._abort_unwritten(request)
 
@@ -220,6 +231,8 @@
         )
         request.attempts.append(attempt)
         request.attempts_in_flight += 1
+        if attempt.number:
+            self._activity.record("further attempts", request_id)
         if (
             request.ended
             or now >= request.deadline
@@ -246,7 +259,9 @@
         """Reply to the client on the first success, and report each outcome to the policy."""
         request = self._requests[attempt.request_id]
         request.attempts_in_flight -= 1
-        if status == SUCCESS and response is not None and not request.ended:
+        if status != SUCCESS:
+            self._activity.record(f"attempts {status}", attempt.request_id)
+        elif response is not None and not request.ended:
             self._reply(request, 200, b"".join(response.headers), response.body)
         outcome = Outcome(
             request_id=attempt.request_id,
@@ -268,6 +283,7 @@
             attempt.abort(TIMED_OUT)
         if not request.ended:
             # The policy has not ended the request; without this the client would get no reply.
+            self._activity.record("ended by their deadlines", request.event.request_id)
             self._reply(request, 504, b"", b"")
             self._dispatch(Abandoned(request.event.request_id), request.event.request_id)
 
--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -257,7 +257,7 @@
         if self._transport is None or self._serving:
             return False
         if self._writing_paused:
-            self.abort()
+            self.abort("closed: no memory for unread replies")
         elif self._incoming is not None and not self._queue:
             self._reject_incoming(503, "out of memory")
             self._start_first()
@@ -378,6 +378,7 @@
             if incoming.rejection is not None:
                 raise RequestRejected(*incoming.rejection)
             if incoming.refused:
+                self._server.activity.record("refused: too much input, or no memory for it")
                 self.reply(503, self._server.refusal_headers, b"")
             else:
                 self._start(incoming)
@@ -414,6 +415,7 @@
         event, head, deadline = server.parse_request(incoming, path, query, now)
         server.record_valid_request(self)
         if self.over_limit:
+            server.activity.record("refused: too many connections", event.request_id)
             self.reply(503, server.refusal_headers, b"")
             return
         if len(head) + len(incoming.body) >= MIN_ACCOUNTED_BYTES:
@@ -434,6 +436,7 @@
         After an unknown path or method the connection is kept, but only for a few of these, as replying
         to them takes CPU time from other clients.
         """
+        self._server.activity.record(f"rejected with {status} {reason}")
         self._rejected_requests += 1
         self._keep_alive = (
             self._keep_alive and status in (404, 405) and self._rejected_requests < MAX_REJECTED_REQUESTS
@@ -476,7 +479,7 @@
         self._input.clear()
         if self.lingering:
             transport.write_eof()
-            self._server.loop.call_later(LINGER_TIMEOUT, self.abort)
+            self._server.loop.call_later(LINGER_TIMEOUT, self.abort, "closed: after a rejected request")
         else:
             transport.close()
 
@@ -509,7 +512,7 @@
     def handle_disconnect(self) -> None:
         """Abandon the requests and abort the connection, once the client is known to have disconnected."""
         self._abandon_requests()
-        self.abort()
+        self.abort("closed: client has disconnected")
 
     def can_close(self) -> bool:
         """Whether the connection is idle and no request waits to be read."""
@@ -527,14 +530,16 @@
             self._serving or self._incoming is not None or self._queue or self._input.size or self.lingering
         )
 
-    def close(self) -> None:
-        """Close once all that was written has been sent."""
+    def close(self, reason: str) -> None:
+        """Close once all that was written has been sent; `reason` is for the log."""
         if self._transport is not None:
+            self._server.activity.record(reason)
             self._transport.close()
 
-    def abort(self) -> None:
-        """Close at once."""
+    def abort(self, reason: str) -> None:
+        """Close at once; `reason` is for the log."""
         if self._transport is not None:
+            self._server.activity.record(reason)
             self._transport.abort()
 
     def enforce_timeouts(self, now: float) -> None:
@@ -544,12 +549,13 @@
             return
         if self._writing_paused or self._transport.is_closing():
             if elapsed > TRANSFER_TIMEOUT:
-                self.abort()  # frees the memory and descriptor held for a client that does not read
+                # Frees the memory and descriptor held for a client that does not read.
+                self.abort("closed: replies not read")
         elif self.is_idle():
             if (
                 elapsed > (IDLE_TIMEOUT if self.has_valid_request else FIRST_REQUEST_TIMEOUT)
                 and self.can_close()
             ):
-                self._transport.close()
+                self.close("closed: idle")
         elif elapsed > TRANSFER_TIMEOUT:
             self.reject_incomplete_request(408, "too slow")
--- a/wrenladder/proxy/memory_budget.py
+++ b/wrenladder/proxy/memory_budget.py
@@ -51,7 +51,7 @@
 
 
 class MemoryBudget:
-    """The bytes that connections hold for messages, and their limit.
+    """The bytes that connections hold for messages (`total`), and their limit.
 
     Every single message is bounded, but hundreds of connections can hold one each. Over the limit, the
     holders of the largest messages are asked to give them up, in the order in which they came: a client that
@@ -61,7 +61,7 @@
     def __init__(self, limit: float = math.inf) -> None:
         self._limit = limit
         self._held: dict[Holder, int] = {}
-        self._total = 0
+        self.total = 0
         self.is_tight = False  # so much is held that little more should be read
         self.is_exceeded = False  # more is held than the limit
 
@@ -70,18 +70,18 @@
         held = self._held.pop(holder, 0) if not size else self._held.get(holder, 0)
         if size:
             self._held[holder] = size
-        self._total += size - held
-        self.is_tight = self._total > TIGHT_SHARE * self._limit
-        self.is_exceeded = self._total > self._limit
+        self.total += size - held
+        self.is_tight = self.total > TIGHT_SHARE * self._limit
+        self.is_exceeded = self.total > self._limit
         if self.is_exceeded and size > held:
             self._shed_others(holder)
         return not (size and self.is_exceeded)
 
     def _shed_others(self, requester: Holder) -> None:
         """Shed holders of more than the average, the oldest first, until there is some room."""
-        average = self._total / len(self._held)
+        average = self.total / len(self._held)
         for holder, size in list(self._held.items()):
-            if self._total <= RELIEF_SHARE * self._limit:
+            if self.total <= RELIEF_SHARE * self._limit:
                 return
             if holder is not requester and size >= average:
                 holder.shed()
--- a/wrenladder/proxy/server.py
+++ b/wrenladder/proxy/server.py
@@ -10,6 +10,7 @@
 
 from wrenladder.policy.events import Request
 from wrenladder.policy.settings import PURE, Settings
+from wrenladder.proxy.activity_log import ActivityLog
 from wrenladder.proxy.bridge import Bridge
 from wrenladder.proxy.client_connection import ClientConnection
 from wrenladder.proxy.incoming_request import IncomingRequest, RequestRejected
@@ -46,8 +47,10 @@
         idle_client_limit: int,
         bridge: Bridge,
         memory: MemoryBudget | None = None,
+        activity: ActivityLog | None = None,
     ) -> None:
         self.loop, self.bridge, self.memory = loop, bridge, memory or MemoryBudget()
+        self.activity = activity or ActivityLog()
         # The buffer that input is read into, from all clients, since it is taken out at once; and the part of
         # it that is used while memory is tight.
         self.read_buffer = memoryview(bytearray(READ_SIZE))
@@ -79,6 +82,9 @@
         """Report not ready from now on (lame duck): clients should go elsewhere, but are still served."""
         self._lame_duck = True
 
+    def __len__(self) -> int:
+        return len(self._connections)
+
     def ready(self) -> bool:
         """Whether clients should be sent to this gateway."""
         return self._has_workers and not self._lame_duck
@@ -98,11 +104,12 @@
                 evicted = self._longest_idle()
             if evicted is not None:
                 self._without_valid_request.pop(evicted, None)
-                evicted.abort()
+                evicted.abort("closed: for a new connection")
             elif len(self._connections) < self._connection_limit + MAX_OVERFLOW_CONNECTIONS:
                 client.over_limit = True
             else:
-                client.abort()  # the remaining descriptors are for workers and discovery
+                # The remaining descriptors are for workers and discovery.
+                client.abort("closed: too many connections")
         self._connections[client] = self._without_valid_request[client] = None
         self._no_connections.clear()
 
@@ -119,7 +126,7 @@
         ):
             # Some clients send one request on each connection and keep it open, up to a limit of their own.
             # Once all of these connections are idle here, such a client can send no further request.
-            evicted.close()
+            evicted.close("closed: too many idle connections")
 
     def record_reply(self, client: ClientConnection) -> None:
         """Move a client that has been sent a reply to the end of the order of last replies."""
@@ -183,7 +190,7 @@
     def _close_idle(self) -> None:
         for client in list(self._connections):
             if client.can_close():
-                client.close()
+                client.close("closed: shutting down")
 
     async def _wait_until_closed(self, end: float) -> None:
         """Wait until no connection is open, or until `end` on the event loop's clock."""
--- a/wrenladder/proxy/service.py
+++ b/wrenladder/proxy/service.py
@@ -6,19 +6,21 @@
 import gc
 import logging
 import os
+import resource
 import signal
 import time
 from contextlib import suppress
 from random import Random
 
 from wrenladder.policy.request_lifecycle import Gateway
+from wrenladder.proxy.activity_log import ActivityLog
 from wrenladder.proxy.bridge import Bridge
 from wrenladder.proxy.client_connection import ClientConnection
 from wrenladder.proxy.config import Config, ConfigError, load_config
 from wrenladder.proxy.discovery_messages import WorkerListUpdate
 from wrenladder.proxy.discovery_timing import LOCAL_AGENT_TIMING, SHARED_SERVICE_TIMING
 from wrenladder.proxy.discovery_watch import DiscoveryWatch
-from wrenladder.proxy.memory_budget import MemoryBudget, MemoryPlan
+from wrenladder.proxy.memory_budget import BYTES_PER_KIBIBYTE, MemoryBudget, MemoryPlan
 from wrenladder.proxy.server import Server
 from wrenladder.proxy.shutdown import ShutdownTiming
 from wrenladder.proxy.worker_pool import WorkerPool
@@ -30,6 +32,7 @@
 # All times are in seconds.
 FIRST_RESPONSE_TIMEOUT = 0.5  # wait for discovery's first response before listening
 ACCEPT_GRACE = 0.02  # after the lame duck period, for a stalled event loop to accept what had come by then
+ACTIVITY_INTERVAL = 10.0  # between log lines of what has been counted
 MAX_SWEEP_INTERVAL = 0.25  # between searches for connections that have timed out
 MIN_SWEEP_INTERVAL = 0.02
 SWEEP_IDLE_SHARE = 0.1  # sweep interval as a share of the workers' idle timeout, within the bounds above
@@ -51,10 +54,11 @@
         """Build the parts, with the worker list of the configuration; nothing runs yet."""
         self._loop, self._config = loop, config
         self._stop = asyncio.Event()
+        self._activity = ActivityLog()
         connection_limit = max(MIN_CONNECTIONS, config.descriptor_limit - RESERVED_DESCRIPTORS)
         client_limit = int(connection_limit * CLIENT_SHARE)
         memory_plan = MemoryPlan.at_start(config.memory_limit)
-        memory = MemoryBudget(memory_plan.message_bytes)
+        memory = self._memory = MemoryBudget(memory_plan.message_bytes)
         self._worker_pool = WorkerPool(
             loop,
             connection_limit - client_limit,
@@ -64,7 +68,7 @@
             memory=memory,
         )
         policy = Gateway(config.settings, config.seed, loop.time(), memory_plan.max_accounts)
-        self._bridge = Bridge(loop, config.settings, policy, self._worker_pool)
+        self._bridge = Bridge(loop, config.settings, policy, self._worker_pool, self._activity)
         self._server = Server(
             loop,
             config.settings,
@@ -73,6 +77,7 @@
             int(config.descriptor_limit * IDLE_CLIENT_SHARE),
             self._bridge,
             memory,
+            self._activity,
         )
         sweep_interval = SWEEP_IDLE_SHARE * config.worker_idle_timeout
         self._sweep_interval = max(MIN_SWEEP_INTERVAL, min(MAX_SWEEP_INTERVAL, sweep_interval))
@@ -110,6 +115,7 @@
             await asyncio.wait_for(self._discovery_watch.response_received.wait(), FIRST_RESPONSE_TIMEOUT)
         listener = await self._listen()
         self._loop.call_later(self._sweep_interval, self._sweep)
+        self._loop.call_later(ACTIVITY_INTERVAL, self._log_activity)
         await self._stop.wait()
         await self._shut_down(listener)
 
@@ -159,6 +165,17 @@
         self._server.enforce_timeouts()
         self._loop.call_later(self._sweep_interval, self._sweep)
 
+    def _log_activity(self) -> None:
+        """Log what has been counted, again and again."""
+        self._flush_activity()
+        self._loop.call_later(ACTIVITY_INTERVAL, self._log_activity)
+
+    def _flush_activity(self) -> None:
+        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // BYTES_PER_KIBIBYTE
+        self._activity.flush(
+            f"{len(self._server)} clients, {self._memory.total} bytes of messages, peak memory {peak} MiB"
+        )
+
     async def _shut_down(self, listener: asyncio.Server) -> None:
         """Reply to all requests, those that still come in the lame duck period included, and stop."""
         longest_deadline = max(c.deadline for c in self._config.settings.classes)
@@ -174,5 +191,6 @@
         await asyncio.sleep(0)  # lets the connections accepted last register with the server
         await self._server.close_all(timing.reply_deadline, timing.exit_deadline)
         self._discovery_watch.stop()
+        self._flush_activity()
         # The end of the loop restores the default handlers, with which a late signal would kill the process.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, *STOP_SIGNALS})
