--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import AsyncIterator
 from pathlib import Path
+from random import Random
 
 import flooding_client
 import pytest
@@ -182,3 +183,35 @@
             assert memory_status(gateway, "VmHWM") < MIN_MEMORY_MB << 20
 
     run_scenario(scenario())
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_orders_run_once_and_in_time_beside_stalled_and_flooding_clients(seed):
+    random = Random(seed)
+    stalled_kinds = random.sample(sorted(STALLED_REQUESTS), 3)
+    flood_kind = random.choice(sorted(flooding_client.KINDS | flooding_client.WAITING_KINDS))
+
+    async def scenario():
+        workers, loop = [StubWorker(f"w{n}") for n in range(4)], asyncio.get_running_loop()
+        async with (
+            running_gateway(*workers, sockets=MAX_SOCKETS, memory_mb=MIN_MEMORY_MB) as (gateway, _, client),
+            flood(gateway, flood_kind, random.randint(1, 4)),
+        ):
+            misbehaving_clients = []
+            for n in range(60):
+                data = STALLED_REQUESTS[random.choice(stalled_kinds)]()
+                misbehaving_clients += [await connect_and_send(gateway, data) for _ in range(5)]
+                if random.random() < 0.3:
+                    leaving = misbehaving_clients.pop(random.randrange(len(misbehaving_clients)))
+                    leaving.writer.transport.abort()
+                if random.random() < 0.3:
+                    client = await gateway.connect()
+                started_at = loop.time()
+                reply = await client.exchange("write", request_id=f"order{n}", timeout=str(CLIENT_TIMEOUT))
+                assert reply.status == 200 and loop.time() - started_at < CLIENT_TIMEOUT
+            close_all(misbehaving_clients)
+            assert memory_status(gateway, "VmHWM") < MIN_MEMORY_MB << 20
+        orders = [r.request_id for worker in workers for r in worker.requests if "order" in r.request_id]
+        assert sorted(orders) == sorted(f"order{n}" for n in range(60))
+
+    run_scenario(scenario())
--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -258,6 +258,8 @@
             return False
         if self._writing_paused:
             self.abort("closed: no memory for unread replies")
+            self._accounted_bytes = 0  # freed with the connection, later in this turn of the event loop
+            self._server.memory.update(self, 0)
         elif self._incoming is not None and not self._queue:
             self._reject_incoming(503, "out of memory")
             self._start_first()
