--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -414,7 +414,7 @@
             self._serving = False
             return
         server, now = self._server, self._server.loop.time()
-        event, head, deadline = server.parse_request(incoming, path, query, now)
+        event, head, deadline = server.validator.parse(incoming, path, query, now)
         server.record_valid_request(self)
         if self.over_limit:
             server.activity.record("refused: too many connections", event.request_id)
--- a/wrenladder/proxy/incoming_request.py
+++ b/wrenladder/proxy/incoming_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wrenladder.proxy.growing_bytes import extended
 from wrenladder.proxy.http_limits import HOP_BY_HOP_HEADERS, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADER_FIELDS
 
 # Request headers that the gateway writes itself or that apply to the client's connection only. All others
@@ -133,12 +134,7 @@
         self._size += len(part)
         if self._size > MAX_BODY_BYTES:
             raise RequestRejected(413, "body too large")
-        if not self.body:
-            self.body = part
-            return
-        if isinstance(self.body, bytes):
-            self.body = bytearray(self.body)
-        self.body += part
+        self.body = extended(self.body, part)
 
     def refuse(self) -> None:
         """Mark the request as refused and drop its content; a rejection stays one."""
--- a/wrenladder/proxy/server.py
+++ b/wrenladder/proxy/server.py
@@ -1,20 +1,18 @@
-"""The set of client connections and the limits on it, and the validation of requests."""
+"""The set of client connections and the limits on it."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import re
 from contextlib import suppress
 from itertools import islice
 
-from wrenladder.policy.events import Request
-from wrenladder.policy.settings import PURE, Settings
+from wrenladder.policy.settings import Settings
 from wrenladder.proxy.activity_log import ActivityLog
 from wrenladder.proxy.bridge import Bridge
 from wrenladder.proxy.client_connection import ClientConnection
-from wrenladder.proxy.incoming_request import IncomingRequest, RequestRejected
 from wrenladder.proxy.memory_budget import MemoryBudget
+from wrenladder.proxy.request_validation import RequestValidator
 from wrenladder.proxy.socket_state import disconnected
 from wrenladder.proxy.turn_scheduler import TurnScheduler
 
@@ -27,12 +25,6 @@
 READ_SIZE = 64 * 1024  # bytes that are read at once from a client
 TIGHT_READ_SIZE = 1024  # bytes, while memory is tight
 REFUSAL_RETRY_AFTER = 0.1  # seconds that a refusal for lack of connections or memory advises at most
-MAX_CACHED_WEIGHTS = 256  # parsed values of X-Weight
-MAX_TIMEOUT = 86400.0  # seconds; a request with a longer X-Timeout is rejected
-CUSTOMER_ID_LIMIT = 2**33  # all customer ids are smaller
-DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
-CUSTOMER_PATTERN = re.compile(rb"[0-9a-fA-F]{16}")
-REQUEST_ID_PATTERN = re.compile(rb"[A-Za-z0-9._~-]{1,128}")
 
 
 class Server:
@@ -55,6 +47,7 @@
         # it that is used while memory is tight.
         self.read_buffer = memoryview(bytearray(READ_SIZE))
         self.tight_read_buffer = self.read_buffer[:TIGHT_READ_SIZE]
+        self.validator = RequestValidator(settings, max_request_units, bridge)
         self.scheduler = TurnScheduler(loop)
         retry_after = min(REFUSAL_RETRY_AFTER, settings.max_retry_after)
         self.refusal_headers = b"Retry-After: %.3f\r\n" % retry_after if retry_after > 0 else b""
@@ -64,15 +57,11 @@
         self._no_connections.set()
         # Above `idle_client_limit` connections with a valid request, the longest idle one is closed.
         self._connection_limit, self._idle_client_limit = connection_limit, idle_client_limit
-        self._max_request_units, self._gateway_count = max_request_units, settings.gateway_count
-        self._request_classes = {c.name.encode(): c for c in settings.classes}
         self._connections: dict[ClientConnection, None] = {}
         self._without_valid_request: dict[ClientConnection, None] = {}  # in order of connecting
         self._with_valid_request: dict[ClientConnection, None] = {}  # in order of their last replies
-        self._plan_names = {p.name.encode() for p in settings.plans}
         self._has_workers = self._lame_duck = False
         self._reading_paused: set[ClientConnection] = set()
-        self._weight_cache: dict[bytes, tuple[float, int]] = {}
 
     def set_has_workers(self) -> None:
         """Note that there are workers, so that the gateway may report ready."""
@@ -196,90 +185,3 @@
         """Wait until no connection is open, or until `end` on the event loop's clock."""
         with suppress(TimeoutError):
             await asyncio.wait_for(self._no_connections.wait(), end - self.loop.time())
-
-    def parse_request(
-        self, incoming: IncomingRequest, path: bytes, query: bytes, now: float
-    ) -> tuple[Request, bytes, float]:
-        """Return the policy's event, the head to forward and the deadline.
-
-        Raises:
-            RequestRejected: The request is invalid.
-        """
-        path_class = path[1:].partition(b"/")[0]
-        headers = incoming.headers
-        header_class = headers.get(b"x-priority-class")
-        request_class = self._request_classes.get(path_class)
-        if request_class is None:
-            raise RequestRejected(404, "path")  # the path has to begin with a request class
-        if header_class != path_class:
-            raise RequestRejected(400, "X-Priority-Class")  # the header repeats the class in the path
-        if incoming.method != (b"GET" if request_class.effect == PURE else b"POST"):
-            raise RequestRejected(405, "method")
-        if incoming.body and request_class.effect == PURE:
-            raise RequestRejected(400, "body")
-        if incoming.duplicate_header:
-            raise RequestRejected(400, incoming.duplicate_header.decode("latin-1"))
-        raw_id, timeout = headers.get(b"x-request-id", b""), headers.get(b"x-timeout", b"")
-        if not REQUEST_ID_PATTERN.fullmatch(raw_id):
-            raise RequestRejected(400, "X-Request-ID")
-        if not DECIMAL_PATTERN.fullmatch(timeout) or float(timeout) > MAX_TIMEOUT:
-            raise RequestRejected(400, "X-Timeout")
-        plan = headers.get(b"x-tariff", b"")
-        if plan not in self._plan_names:
-            raise RequestRejected(400, "X-Tariff")
-        customers = [part[9:] for part in query.split(b"&") if part.startswith(b"customer=")]
-        if (
-            len(customers) != 1
-            or not CUSTOMER_PATTERN.fullmatch(customers[0])
-            or int(customers[0], 16) >= CUSTOMER_ID_LIMIT
-        ):
-            raise RequestRejected(400, "customer")
-        weight = headers.get(b"x-weight", b"")
-        weight_values = self._weight_cache.get(weight)  # few different values occur
-        if weight_values is None:
-            weight_values = self._parse_weight(weight)
-            if len(self._weight_cache) < MAX_CACHED_WEIGHTS:
-                self._weight_cache[weight] = weight_values
-        units, customer_gateway_count = weight_values
-        deadline = incoming.received_at + min(float(timeout), request_class.deadline)
-        request_id = raw_id.decode()
-        if self.bridge.has_request(request_id):
-            raise RequestRejected(400, "X-Request-ID is in use")
-        event = Request(
-            request_id=request_id,
-            request_class=header_class.decode(),
-            plan=plan.decode(),
-            customer=customers[0].decode().lower(),
-            time_left=max(0.0, deadline - now),
-            units=units,
-            customer_gateway_count=customer_gateway_count,
-            is_retry=headers.get(b"x-retried") == b"1",
-        )
-        target = path + b"?" + query
-        content_length = (
-            b"Content-Length: %d\r\n" % len(incoming.body)
-            if incoming.method == b"POST" or incoming.body
-            else b""
-        )
-        head = b"%b %b HTTP/1.1\r\n%b%b" % (
-            incoming.method,
-            target,
-            b"".join(incoming.forwarded_headers),
-            content_length,
-        )
-        return event, head, deadline
-
-    def _parse_weight(self, text: bytes) -> tuple[float, int]:
-        """The units and the number of gateways (`spread`) from X-Weight; its `first` is only validated."""
-        parts = dict(part.strip().partition(b"=")[::2] for part in text.split(b","))
-        units, spread, first = (parts.get(key, b"") for key in (b"units", b"spread", b"first"))
-        if not all(DECIMAL_PATTERN.fullmatch(part) for part in (units, spread, first)):
-            raise RequestRejected(400, "X-Weight")
-        if (
-            b"." in spread + first
-            or not 0 < float(units) <= self._max_request_units
-            or not 1 <= int(spread) <= self._gateway_count
-            or int(first) >= self._gateway_count
-        ):
-            raise RequestRejected(400, "X-Weight")
-        return float(units), int(spread)
--- a/wrenladder/proxy/worker_connection.py
+++ b/wrenladder/proxy/worker_connection.py
@@ -18,6 +18,7 @@
     UNREACHABLE,
 )
 from wrenladder.proxy.attempt import Attempt, WorkerResponse
+from wrenladder.proxy.growing_bytes import extended
 from wrenladder.proxy.http_limits import (
     HOP_BY_HOP_HEADERS,
     MAX_HEAD_BYTES,
@@ -216,12 +217,7 @@
         self._parsed_size += len(data)
         if self._parsed_size > MAX_HEAD_BYTES + self._pool.max_body_bytes:
             raise ResponseTooLarge
-        if not self._body:
-            self._body = data
-            return
-        if isinstance(self._body, bytes):
-            self._body = bytearray(self._body)
-        self._body += data
+        self._body = extended(self._body, data)
 
     def on_message_complete(self) -> None:
         """Complete the response, or prepare for the next one if this one is interim (1xx)."""
