The body of a request is released once it is written or its client has left

Related path of the incident's memory fault: bridge and attempt kept a request's body until its last attempt had ended, also where nobody waited any more, and the budget does not count it then. A client that posts 64 KB, leaves and comes again added 64 KB each time until the workers responded or the deadline came.

--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -19,6 +19,7 @@
     respond_with,
     run_scenario,
     running_gateway,
+    wait_until,
 )
 
 MIN_MEMORY_MB = 32  # the least memory limit of a deployment
@@ -26,6 +27,7 @@
 CLIENT_COUNT = 560  # fewer than the connection limit of the gateway with so many descriptors
 HEALTH_CHECK_COUNT = 5
 CUSTOMER_COUNT = 25_000
+LEAVING_CLIENT_COUNT = 200
 BATCH_SIZE = 100  # requests that are sent at once
 CLIENT_TIMEOUT = 0.75  # seconds that other clients wait for their replies
 
@@ -129,6 +131,30 @@
     run_scenario(scenario())
 
 
+# Guards against bodies that are kept after their clients have left, while workers still have the requests.
+def test_bodies_of_requests_whose_clients_have_left_are_released():
+    body = b"x" * 65_000
+
+    async def scenario():
+        worker = StubWorker("w", never_respond)
+        async with running_gateway(worker, sockets=MAX_SOCKETS, memory_mb=MIN_MEMORY_MB) as (gateway, _, _):
+            memory_before = memory_status(gateway, "VmHWM")
+            for n in range(LEAVING_CLIENT_COUNT):
+                count, client = len(worker.requests), await gateway.connect()
+                reply = asyncio.create_task(
+                    client.exchange("write", timeout="3.9", customer=f"{n:016x}", body=body)
+                )
+                # It leaves once its request has been forwarded or refused.
+                await wait_until(lambda n=count, reply=reply: reply.done() or len(worker.requests) > n)
+                reply.cancel()
+                client.writer.transport.abort()
+            forwarded_bytes = len(worker.requests) * len(body)
+            assert forwarded_bytes > 2_000_000
+            assert memory_status(gateway, "VmHWM") - memory_before < forwarded_bytes / 2
+
+    run_scenario(scenario())
+
+
 @contextlib.asynccontextmanager
 async def flood(gateway: GatewayProcess, kind: str, connection_count: int) -> AsyncIterator[None]:
     """Flood the gateway from another process, which has begun when the block is entered."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -61,6 +61,7 @@
     return types.SimpleNamespace(
         request_bytes=lambda now: b"GET / HTTP/1.1\r\n\r\n",
         finish=lambda status: None,
+        release_request=lambda: None,
         write_deadline=1.0,
         written=False,
     )
--- a/wrenladder/proxy/attempt.py
+++ b/wrenladder/proxy/attempt.py
@@ -102,3 +102,7 @@
     def request_bytes(self, now: float) -> bytes:
         """The request as sent to the worker; X-Timeout states the remaining time, at least `MIN_TIMEOUT`."""
         return b"%bX-Timeout: %.3f\r\n\r\n%b" % (self.head, max(MIN_TIMEOUT, self.deadline - now), self.body)
+
+    def release_request(self) -> None:
+        """Free the memory of the request, which has been written and is not written again."""
+        self.head = self.body = b""
--- a/wrenladder/proxy/bridge.py
+++ b/wrenladder/proxy/bridge.py
@@ -298,6 +298,7 @@
 
     def _mark_ended(self, request: ProxiedRequest) -> None:
         request.ended, request.reply, request.client_state = True, None, None
+        request.head = request.body = b""  # attempts in flight may outlast the request
         self._remove_if_done(request)
 
     def _remove_if_done(self, request: ProxiedRequest) -> None:
--- a/wrenladder/proxy/worker_connection.py
+++ b/wrenladder/proxy/worker_connection.py
@@ -110,6 +110,7 @@
         attempt.connection, attempt.written = self, True
         transport = cast(asyncio.Transport, self.transport)
         transport.write(attempt.request_bytes(self._pool.loop.time()))
+        attempt.release_request()
         self._flushed = not transport.is_closing() and transport.get_write_buffer_size() == 0
 
     def resume_writing(self) -> None:
