A connection always finds room for its fair share of the memory for messages

Evidence: the test of a small request in pieces failed before and holds now; one of 2 KB is still refused.

--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -26,6 +26,9 @@
         """Record the data."""
         self.written.append(data)
 
+    def write_eof(self) -> None:
+        """Ignore the end of the stream."""
+
     def is_reading(self) -> bool:
         """Return whether reading is not paused."""
         return self.reading
--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -248,7 +248,7 @@
         if self._writing_paused and self._transport is not None:
             size += self._transport.get_write_buffer_size()
         if size == self._accounted_bytes:
-            return not self._server.memory.is_exceeded
+            return self._server.memory.has_room(size)
         self._accounted_bytes = size
         return self._server.memory.update(self, size)
 
--- a/wrenladder/proxy/memory_budget.py
+++ b/wrenladder/proxy/memory_budget.py
@@ -56,10 +56,13 @@
     Every single message is bounded, but hundreds of connections can hold one each. Over the limit, the
     holders of the largest messages are asked to give them up, in the order in which they came: a client that
     has stopped in the middle of a request holds it the longest.
+
+    Up to its fair share, the limit divided by `max_holders`, a holder always finds room. So ordinary requests
+    are served while large ones take all of the budget, of which at most twice the limit is held.
     """
 
-    def __init__(self, limit: float = math.inf) -> None:
-        self._limit = limit
+    def __init__(self, limit: float = math.inf, max_holders: int = 1) -> None:
+        self._limit, self._fair_share = limit, limit / max_holders
         self._held: dict[Holder, int] = {}
         self.total = 0
         self.is_tight = False  # so much is held that little more should be read
@@ -75,7 +78,11 @@
         self.is_exceeded = self.total > self._limit
         if self.is_exceeded and size > held:
             self._shed_others(holder)
-        return not (size and self.is_exceeded)
+        return self.has_room(size)
+
+    def has_room(self, size: int) -> bool:
+        """Whether a holder of `size` bytes may keep them."""
+        return not self.is_exceeded or size <= self._fair_share
 
     def _shed_others(self, requester: Holder) -> None:
         """Shed holders of more than the average, the oldest first, until there is some room."""
--- a/wrenladder/proxy/service.py
+++ b/wrenladder/proxy/service.py
@@ -58,7 +58,7 @@
         connection_limit = max(MIN_CONNECTIONS, config.descriptor_limit - RESERVED_DESCRIPTORS)
         client_limit = int(connection_limit * CLIENT_SHARE)
         memory_plan = MemoryPlan.at_start(config.memory_limit)
-        memory = self._memory = MemoryBudget(memory_plan.message_bytes)
+        memory = self._memory = MemoryBudget(memory_plan.message_bytes, connection_limit)
         self._worker_pool = WorkerPool(
             loop,
             connection_limit - client_limit,
