The memory in use at the start is the process's own, not that of the process which started it

MemoryPlan took the peak that getrusage reports for the memory in use. That peak begins with that of the starting process: a child of a process with 300 MB reports 317 MB before it has done anything. Started by a large supervisor, a gateway would have had the least budget, 512 KB, whatever its limit.

Now /proc/self/statm is read, and where it can't be, 28 MiB are assumed. The log line tells the resident memory in place of the peak.

--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -1,6 +1,8 @@
 """The memory of messages is bounded for all connections together, and unfinished messages give way."""
 
 import asyncio
+import sys
+from pathlib import Path
 
 import pytest
 from stand_ins import (
@@ -15,6 +17,7 @@
 from wrenladder.proxy.client_connection import ClientConnection
 from wrenladder.proxy.memory_budget import (
     ACCOUNT_BYTES,
+    MEBIBYTE,
     MIN_ACCOUNTS,
     MIN_BUDGET,
     MemoryBudget,
@@ -90,6 +93,24 @@
     assert planned <= max(memory_limit / 2, MIN_BUDGET + MIN_ACCOUNTS * ACCOUNT_BYTES)
 
 
+# Guards against a plan that takes the memory of the process which started the gateway for the gateway's own.
+def test_memory_of_the_starting_process_does_not_count():
+    ballast = b"x" * (256 * MEBIBYTE)
+
+    async def scenario():
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            "from wrenladder.proxy.memory_budget import *; print(resident_memory())",
+            cwd=Path(__file__).parent.parent,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await process.communicate()
+        assert MEBIBYTE < int(output) < len(ballast) / 2
+
+    run_scenario(scenario())
+
+
 # Guards against responses whose tiny chunks take many times their size in memory.
 def test_response_in_tiny_chunks_is_passed_on_in_little_memory():
     body = b"ab" * 30_000
--- a/wrenladder/proxy/memory_budget.py
+++ b/wrenladder/proxy/memory_budget.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 MEBIBYTE = 1 << 20
-BYTES_PER_KIBIBYTE = 1024  # the system reports the resident memory in KiB
+ASSUMED_RESIDENT_MEMORY = 28 * MEBIBYTE  # bytes, where the system does not tell
 # Of the memory that is free at the start. The rest is for connections, the worker list and fragmentation.
 MESSAGE_SHARE = 0.2
 MIN_BUDGET = MEBIBYTE // 2  # bytes, however little memory is free
@@ -20,6 +20,18 @@
 MIN_ACCOUNTS = 512  # however little memory is free
 
 
+def resident_memory() -> int:
+    """The resident memory of this process in bytes.
+
+    The peak that getrusage reports would not do: it begins with that of the process which started this one.
+    """
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * resource.getpagesize()
+    except (OSError, ValueError, IndexError):
+        return ASSUMED_RESIDENT_MEMORY
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryPlan:
     """How the memory that is free at the start is divided.
@@ -35,8 +47,7 @@
     @classmethod
     def at_start(cls, memory_limit: int) -> MemoryPlan:
         """Divide what the process has not used yet of `memory_limit` bytes."""
-        resident = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * BYTES_PER_KIBIBYTE
-        free = max(0, memory_limit - resident)
+        free = max(0, memory_limit - resident_memory())
         return cls(
             message_bytes=max(MIN_BUDGET, MESSAGE_SHARE * free),
             max_accounts=max(MIN_ACCOUNTS, int(ACCOUNT_SHARE * free / ACCOUNT_BYTES)),
--- a/wrenladder/proxy/service.py
+++ b/wrenladder/proxy/service.py
@@ -6,7 +6,6 @@
 import gc
 import logging
 import os
-import resource
 import signal
 import time
 from contextlib import suppress
@@ -20,7 +19,7 @@
 from wrenladder.proxy.discovery_messages import WorkerListUpdate
 from wrenladder.proxy.discovery_timing import LOCAL_AGENT_TIMING, SHARED_SERVICE_TIMING
 from wrenladder.proxy.discovery_watch import DiscoveryWatch
-from wrenladder.proxy.memory_budget import BYTES_PER_KIBIBYTE, MemoryBudget, MemoryPlan
+from wrenladder.proxy.memory_budget import MEBIBYTE, MemoryBudget, MemoryPlan, resident_memory
 from wrenladder.proxy.server import Server
 from wrenladder.proxy.shutdown import ShutdownTiming
 from wrenladder.proxy.worker_pool import WorkerPool
@@ -171,9 +170,9 @@
         self._loop.call_later(ACTIVITY_INTERVAL, self._log_activity)
 
     def _flush_activity(self) -> None:
-        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // BYTES_PER_KIBIBYTE
+        resident = resident_memory() // MEBIBYTE
         self._activity.flush(
-            f"{len(self._server)} clients, {self._memory.total} bytes of messages, peak memory {peak} MiB"
+            f"{len(self._server)} clients, {self._memory.total} bytes of messages, {resident} MiB resident"
         )
 
     async def _shut_down(self, listener: asyncio.Server) -> None:
