--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -6,6 +6,7 @@
 from stand_ins import (
     HttpClient,
     StubWorker,
+    memory_status,
     never_respond,
     respond_with,
     run_scenario,
@@ -197,8 +198,7 @@
             # A close could not be seen behind so much input, so no request is forwarded.
             assert (await client.receive()).status == 503 and not worker.requests
             await asyncio.sleep(0.5)  # long enough to read it all if reading did not pause
-            with open(f"/proc/{gateway.process.pid}/statm") as file:
-                assert int(file.read().split()[1]) * 4096 < 60_000_000
+            assert memory_status(gateway, "VmRSS") < 60_000_000
             client.writer.transport.abort()
             assert await gateway.health_status() == 200
 
@@ -331,15 +331,6 @@
     run_scenario(scenario())
 
 
-PAGE_SIZE = 4096  # bytes
-
-
-def resident_memory(gateway):
-    """Return the resident memory of the gateway process, in bytes."""
-    with open(f"/proc/{gateway.process.pid}/statm") as file:
-        return int(file.read().split()[1]) * PAGE_SIZE
-
-
 INCOMPLETE_REQUESTS = {
     "nothing": [b""],
     "empty lines": [b"\r\n"] * 50,
@@ -381,13 +372,13 @@
 def test_endless_input_is_cut_off_and_not_buffered(start):
     async def scenario():
         async with running_gateway(StubWorker("w")) as (gateway, _, client):
-            memory_before = resident_memory(gateway)
+            memory_before = memory_status(gateway, "VmRSS")
             clients = [client] + [await gateway.connect() for _ in range(5)]
             for endless_client in clients:
                 endless_client.send(start + (b"\r\n" if start == b"\r\n" else b"xx") * 10_000_000)
             replies = [await endless_client.receive() for endless_client in clients]
             assert all(reply is None or reply.status in (413, 431) for reply in replies)
-            assert resident_memory(gateway) - memory_before < 10_000_000
+            assert memory_status(gateway, "VmRSS") - memory_before < 10_000_000
             assert await gateway.health_status() == 200
 
     run_scenario(scenario())
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -6,7 +6,7 @@
 
 import pytest
 from policy_driver import PolicyDriver, workers_sent_to
-from stand_ins import HttpClient, StubWorker, run_scenario, running_gateway, wait_until
+from stand_ins import HttpClient, StubWorker, memory_status, run_scenario, running_gateway, wait_until
 
 from wrenladder.policy.events import (
     CONNECTION_LOST,
@@ -165,8 +165,7 @@
                         old_name, worker.name = worker.name, f"w{phase}-{n}"
                         discovery.publish({"name": old_name, "status": "removed"}, worker.list_entry())
                         await discovery.wait_until_polled()
-                with open(f"/proc/{gateway.process.pid}/statm") as file:
-                    resident_sizes.append(int(file.read().split()[1]) * 4096)
+                resident_sizes.append(memory_status(gateway, "VmRSS"))
             assert resident_sizes[2] - resident_sizes[1] < 1_500_000, resident_sizes
             await wait_until(lambda: worker.connection_count - worker.closed_count <= 1)
             assert HttpClient.request_count >= 1200
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -32,12 +32,11 @@
     def __init__(self, budget: MemoryBudget, may_shed: bool = True) -> None:
         self.budget, self.may_shed, self.was_shed = budget, may_shed, False
 
-    def shed(self) -> bool:
+    def shed(self) -> None:
         """Give up the memory, if allowed."""
         if self.may_shed:
             self.was_shed = True
             self.budget.update(self, 0)
-        return self.may_shed
 
 
 def test_oldest_large_holders_are_shed_until_there_is_room():
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,6 +17,7 @@
     StubDiscovery,
     StubWorker,
     gateway_config,
+    memory_status,
     never_respond,
     respond_when_released,
     respond_with,
@@ -359,8 +360,7 @@
                     assert (await client.exchange("write", body=b"x" * 20_000)).status == 200
                     reply_times.append(loop.time())
                     await asyncio.sleep(0.002)  # without it, more connections than allowed would be needed
-                with open(f"/proc/{gateway.process.pid}/statm") as file:
-                    memory_sizes.append(int(file.read().split()[1]) * 4096)
+                memory_sizes.append(memory_status(gateway, "VmRSS"))
             assert memory_sizes[2] - memory_sizes[1] < 3_000_000 and memory_sizes[2] < 100_000_000
             # No more connections than were too recently used for reuse at the busiest moment, and none that
             # replaced another.
--- a/wrenladder/proxy/address_ownership.py
+++ b/wrenladder/proxy/address_ownership.py
@@ -31,9 +31,9 @@
         A delta gets an entry for each worker that is superseded by it and so counts as removed. The entry of
         a worker that takes over an address names the one that had it.
         """
-        previous_owners = dict(self._owners) if update.is_snapshot else {}
+        previous_owners: dict[Address, Endpoint] = {}
         if update.is_snapshot:
-            self._owners.clear()
+            previous_owners, self._owners = self._owners, {}
             self._endpoints.clear()
             self._superseded.clear()
         resolved: dict[str, Endpoint] = {}
--- a/wrenladder/proxy/client_connection.py
+++ b/wrenladder/proxy/client_connection.py
@@ -30,7 +30,7 @@
 MAX_PARSE_CALLS = 4  # in one step of a connection
 # Reading pauses at so many bytes that wait to be parsed. A close could then stay unseen behind unread input.
 MAX_UNPARSED_BYTES = 2 * MAX_BODY_BYTES
-# Bytes of a request in flight, or of a reply, from which its memory is accounted for.
+# Bytes of a request in flight from which its memory is accounted for.
 MIN_ACCOUNTED_BYTES = 2048
 
 SUPPORTED_HTTP_VERSIONS = ("1.0", "1.1")
@@ -252,10 +252,10 @@
         self._accounted_bytes = size
         return self._server.memory.update(self, size)
 
-    def shed(self) -> bool:
+    def shed(self) -> None:
         """Reject an incomplete request, or abort the connection if the client does not read its replies."""
         if self._transport is None or self._serving:
-            return False
+            return
         if self._writing_paused:
             self.abort("closed: no memory for unread replies")
             self._accounted_bytes = 0  # freed with the connection, later in this turn of the event loop
@@ -263,9 +263,6 @@
         elif self._incoming is not None and not self._queue:
             self._reject_incoming(503, "out of memory")
             self._start_first()
-        else:
-            return False
-        return True
 
     def _parse_size(self) -> int:
         """How many bytes to parse in one call."""
@@ -327,7 +324,6 @@
         incoming = cast(IncomingRequest, self._incoming)
         self._unfinished_bytes = 0
         parser = cast(httptools.HttpRequestParser, self._parser)
-        incoming.head_complete = True
         if parser.should_upgrade():
             raise RequestRejected(501, "no upgrade is served")
         version = parser.get_http_version()
--- a/wrenladder/proxy/memory_budget.py
+++ b/wrenladder/proxy/memory_budget.py
@@ -57,8 +57,8 @@
 class Holder(Protocol):
     """Something that holds memory for messages."""
 
-    def shed(self) -> bool:
-        """Release the memory by giving up an unfinished message; False if that is not allowed now."""
+    def shed(self) -> None:
+        """Release the memory by giving up an unfinished message, unless that is not allowed now."""
 
 
 class MemoryBudget:
--- a/wrenladder/proxy/turn_scheduler.py
+++ b/wrenladder/proxy/turn_scheduler.py
@@ -30,9 +30,7 @@
     def schedule(self, backlogged: Backlogged) -> None:
         """Let `backlogged` advance in a later turn, after those that wait already."""
         self._waiting[backlogged] = None
-        if not self._turn_requested:
-            self._turn_requested = True
-            self._loop.call_soon(self._run_turn)
+        self._request_turn()
 
     def is_scheduled(self, backlogged: Backlogged) -> bool:
         """Whether it waits for its turn."""
@@ -42,6 +40,11 @@
         """Forget a connection that is closed."""
         self._waiting.pop(backlogged, None)
 
+    def _request_turn(self) -> None:
+        if not self._turn_requested:
+            self._turn_requested = True
+            self._loop.call_soon(self._run_turn)
+
     def _run_turn(self) -> None:
         self._turn_requested = False
         for _ in range(min(STEPS_PER_TURN, len(self._waiting))):
@@ -50,6 +53,5 @@
                 return
             del self._waiting[backlogged]
             backlogged.advance()
-        if self._waiting and not self._turn_requested:
-            self._turn_requested = True
-            self._loop.call_soon(self._run_turn)
+        if self._waiting:
+            self._request_turn()
--- a/wrenladder/proxy/worker_connection.py
+++ b/wrenladder/proxy/worker_connection.py
@@ -147,9 +147,8 @@
         self._accounted_bytes = size
         return self._pool.memory.update(self, size)
 
-    def shed(self) -> bool:
+    def shed(self) -> None:
         """Never give up a response: its request may have run."""
-        return False
 
     def eof_received(self) -> bool:
         """Handle the end of the worker's stream, which completes a response delimited by close.
@@ -263,7 +262,6 @@
 
     def _abort_attempt(self, status: str) -> None:
         attempt, self.attempt = self.attempt, None
-        self._account_memory(0)
         self.close()
         if attempt is not None:
             attempt.finish(status)
