Review case 7 judges by orders that are updated twice

Cause: after answers without a length the list stays as it was, so a repeat goes by a zone that is out of date. Change: the draining worker is replaced at its address by one of the other hall; the verdict goes by its updates.

--- a/review/parties_2.py
+++ b/review/parties_2.py
@@ -204,6 +204,33 @@
         return port
 
 
+class Ledger:
+    """What the updates of the halls have applied; the job servers of one hall drop a repeat of a key."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.halls: dict[str, dict[str, float]] = {}
+
+    def apply(self, worker: Worker, key: str) -> None:
+        """Apply an update, unless a job server of the same hall has done so."""
+        if key in self.halls.setdefault(worker.zone, {}):
+            self.record.write(f"{worker.name} drops the repeat of {key}")
+        else:
+            self.halls[worker.zone][key] = self.record.now()
+            self.record.write(f"{worker.name} in {worker.zone} applies {key}")
+
+    def twice(self, since: float) -> list[str]:
+        """The updates that were applied in two halls, the earlier time not before `since`."""
+        first: dict[str, float] = {}
+        found: set[str] = set()
+        for keys in self.halls.values():
+            for key, at in keys.items():
+                if key in first:
+                    found.add(key)
+                first[key] = min(at, first.get(key, at))
+        return sorted(key for key in found if first[key] >= since)
+
+
 Handler = Callable[["Worker", Message, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -302,6 +329,9 @@
         }
 
 
+GRACE = 1.0 + 0.05  # seconds: DrainGraceUs, and the 50 ms by which time limits are longer on sockets
+LOAD_INTERVAL = 0.05  # seconds between requests
+MAX_TOLD = 20.0  # seconds after which a change that was never told ends a case
 PIECES = 12  # of an answer that discovery writes in pieces
 
 
@@ -542,6 +572,91 @@
         return message
 
 
+async def replace_worker(
+    record: Record,
+    temporary: str,
+    config: dict[str, Any],
+    discovery: Discovery,
+    workers: list[Worker],
+    begin_trouble: Callable[[Gateway], None],
+    settle: tuple[float, float],
+    told_by: Callable[[float], float | None],
+) -> int:
+    """Replace s-1 by s-3 of the other hall, at its address, and look where updates are applied.
+
+    `begin_trouble` starts the disruption; `settle` is how long requests go on before and after it until s-1
+    drains. `told_by` gives the time by which the gateway counts as told of a change that discovery got at a
+    time, or None if it was never told.
+    """
+    ledger = Ledger(record)
+
+    async def update(worker: Worker, message: Message, writer: asyncio.StreamWriter) -> None:
+        if not message.start_line.startswith("POST /update-order"):
+            await worker.answer(message, writer)
+            return
+        ledger.apply(worker, message.headers["idempotency-key"])
+        if worker.name == "s-3":  # a failing job server: what it answers with 500 may have run, and has
+            writer.write(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+            record.write(f"s-3 answered {message.request_id} with 500")
+        else:
+            await worker.answer(message, writer)
+
+    for worker in workers:
+        worker.handler = update
+    first = workers[0]
+    gateway = Gateway(temporary, config)
+    gateway.start()
+    clients = Clients(record)
+    tasks: list[asyncio.Task[object]] = []
+
+    async def load(seconds: float, request_class: str) -> None:
+        end = record.now() + seconds
+        while record.now() < end:
+            ask = clients.ask(gateway.port, request_class, customer=len(tasks) % 40 + 1)
+            tasks.append(asyncio.create_task(ask))
+            await asyncio.sleep(LOAD_INTERVAL)
+
+    async def wait_until_told(had: float) -> float | None:
+        while (told := told_by(had)) is None or record.now() < told:
+            if record.now() > had + MAX_TOLD:
+                return None
+            await load(0.1, "quote")
+        return told
+
+    try:
+        await gateway.wait_until_ready()
+        await load(settle[0], "quote")
+        begin_trouble(gateway)
+        await load(settle[1], "quote")
+        before = len(first.received)
+        discovery.publish(first.entry(status="draining"))
+        drain_told = await wait_until_told(record.now())
+        await load(GRACE + 2.0, "quote")
+        late = [at for at, _ in first.received if drain_told is not None and at > drain_told + GRACE]
+        record.say(f"s-1 got {before} requests before its drain, {len(late)} that it must not get")
+        # The drain is long over: the process ends, and another one comes at its address, in the other hall.
+        discovery.publish(first.entry(status="removed"))
+        first.end()
+        third = Worker(record, "s-3", "hall-b", handler=update)
+        third.port = first.port
+        await third.start()
+        discovery.publish(third.entry(since_ms=int(time.time() * 1000)))
+        told = await wait_until_told(record.now())
+        await load(GRACE, "quote")
+        since = record.now()
+        await load(6.0, "update-order")
+        await asyncio.wait(tasks)
+        record.write("log of the gateway: " + gateway.log())
+    finally:
+        gateway.kill()
+    twice = ledger.twice(since)
+    applied = sum(map(len, ledger.halls.values()))
+    record.say(f"answers: {clients.answers}; {applied} updates applied, {len(twice)} orders updated twice")
+    if not before or not applied or drain_told is None or told is None:
+        return NOT_RUN
+    return BROKEN if twice else HELD
+
+
 def run_case(case: Callable[[Record, str], Awaitable[int]], folder: Path, limit: float = 110.0) -> None:
     """Run a case with a record and a temporary folder, and exit with its status."""
     record = Record(folder)
