Connections to discovery have a module of their own and report typed responses

A move: DiscoveryConnection reports to an observer that it names itself, and on_response takes a DiscoveryResponse in place of three values. What can't be applied is told by one ValueError.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -21,7 +21,7 @@
 )
 from wrenladder.proxy.activity_log import ActivityLog
 from wrenladder.proxy.client_connection import TRANSFER_TIMEOUT, ClientConnection
-from wrenladder.proxy.discovery_watch import DiscoveryConnection
+from wrenladder.proxy.discovery_connection import DiscoveryConnection
 from wrenladder.proxy.idle_timeout import AdaptiveIdleTimeout
 from wrenladder.proxy.memory_budget import MemoryBudget
 from wrenladder.proxy.worker_connection import WorkerConnection
@@ -80,7 +80,7 @@
         max_body_bytes=65536,
         memory=MemoryBudget(),
         activity=ActivityLog(),
-        on_connected=lambda: None,
+        on_connected=lambda connection: None,
         on_failure=lambda connection, reason: None,
     )
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -32,6 +32,7 @@
 from wrenladder.proxy.__main__ import serve
 from wrenladder.proxy.bridge import Bridge
 from wrenladder.proxy.config import load_config
+from wrenladder.proxy.discovery_connection import DiscoveryConnection, DiscoveryResponse
 from wrenladder.proxy.discovery_timing import LOCAL_AGENT_TIMING, READ_GRACE, SHARED_SERVICE_TIMING
 from wrenladder.proxy.service import CLIENT_SHARE, FIRST_RESPONSE_TIMEOUT, RESERVED_DESCRIPTORS
 from wrenladder.proxy.worker_pool import MIN_IDLE_TIME
@@ -197,7 +198,9 @@
         )
         watch = discovery_watch.DiscoveryWatch(loop, ("127.0.0.1", 9), 0.0, [].append, random=Random(seed))
         for _ in range(overload_responses):
-            watch.on_response(503, b"", False)
+            watch.on_response(
+                DiscoveryConnection(watch, ("127.0.0.1", 9)), DiscoveryResponse(503, b"", will_close=False)
+            )
         total_waits.append(sum(waits))
     assert sorted(total_waits)[len(total_waits) * 9 // 10] < max_total_wait
     assert FIRST_RESPONSE_TIMEOUT < 1.0  # all that a gateway with a worker list waits for
--- a/wrenladder/proxy/discovery_watch.py
+++ b/wrenladder/proxy/discovery_watch.py
@@ -8,10 +8,8 @@
 import math
 from collections.abc import Callable
 from random import Random
-from typing import cast
-
-import httptools
 
+from wrenladder.proxy.discovery_connection import DiscoveryConnection, DiscoveryResponse
 from wrenladder.proxy.discovery_messages import WorkerListUpdate
 from wrenladder.proxy.discovery_timing import (
     EARLY_POLL_JITTER,
@@ -28,74 +26,7 @@
 )
 
 log = logging.getLogger("wrenladder")
-MAX_RESPONSE_BODY = 4 * 1024 * 1024  # bytes
-
-
-class DiscoveryConnection(asyncio.Protocol):
-    """A connection to the discovery service; it reports to its watch until the watch closes it."""
-
-    def __init__(self, watch: DiscoveryWatch, address: tuple[str, int]) -> None:
-        self._watch: DiscoveryWatch | None = watch
-        self._address = address
-        self._transport: asyncio.Transport | None = None
-        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        self._body_parts: list[bytes] = []
-        self._body_size = 0
-        self._complete = self._will_close = False  # the response; whether the service closes after it
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Let the watch send its first poll at once."""
-        self._transport = cast(asyncio.Transport, transport)
-        if self._watch is None:
-            self._transport.abort()
-        else:
-            self._watch.on_connected()
-
-    def send_poll(self, path: str) -> None:
-        """Send a GET request."""
-        self._body_parts, self._body_size, self._complete = [], 0, False
-        if self._transport is not None:
-            self._transport.write(
-                f"GET {path} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n".encode()
-            )
-
-    def data_received(self, data: bytes) -> None:
-        """Parse a part of a response."""
-        watch, parser = self._watch, self._parser
-        if watch is None or parser is None:
-            return
-        try:
-            parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            watch.on_failure(self, f"malformed response: {error}", resync=True)
-            return
-        if self._complete:
-            watch.on_response(parser.get_status_code(), b"".join(self._body_parts), self._will_close)
-
-    def on_body(self, data: bytes) -> None:
-        """Store a part of the body."""
-        self._body_size += len(data)
-        if self._body_size > MAX_RESPONSE_BODY:
-            raise ValueError("response body too large")
-        self._body_parts.append(data)
-
-    def on_message_complete(self) -> None:
-        """Note the end of a response; only now does the parser know whether the connection is kept alive."""
-        self._complete = True
-        self._will_close = not cast(httptools.HttpResponseParser, self._parser).should_keep_alive()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Report the end of the connection as a failure, unless the watch has closed it."""
-        watch, self._watch = self._watch, None
-        self._transport = self._parser = None  # parser and protocol refer to each other
-        if watch is not None:
-            watch.on_failure(self, f"connection lost: {exc or 'closed by the service'}")
-
-    def close(self) -> None:
-        """Close the connection and report nothing more of it."""
-        self._watch = None
-        if self._transport is not None:
-            self._transport.abort()
+OVERLOADED_STATUS = 503  # the discovery service refuses a poll because of too many others
 
 
 class DiscoveryWatch:
@@ -244,18 +175,19 @@
             self._timer.cancel()
         self._timer = self._loop.call_later(delay, callback)
 
-    def on_connected(self) -> None:
+    def on_connected(self, connection: DiscoveryConnection) -> None:
         """Send the first poll of a new connection.
 
         Its wait is shortened by the time since the last contact, so that a service which has stopped
         responding is noticed no later than if the connection had been established at once.
         """
         wait = self._timing.poll_wait - (self._loop.time() - self._last_contact)
-        self._poll(self._timing.recovery_wait if self._failing else max(self._timing.recovery_wait, wait))
+        if self._failing:
+            wait = 0.0
+        self._poll(connection, max(self._timing.recovery_wait, wait))
 
-    def _poll(self, wait: float) -> None:
+    def _poll(self, connection: DiscoveryConnection, wait: float) -> None:
         """Request the snapshot or, if an index is known, the changes after it within `wait` seconds."""
-        connection = cast(DiscoveryConnection, self._connection)
         path, timeout = "/v1/servers", self._timing.response_timeout
         if self._index is not None:
             path, timeout = (
@@ -271,26 +203,15 @@
             lambda: self._schedule(READ_GRACE, lambda: self.on_failure(connection, "response timed out")),
         )
 
-    def on_response(self, status: int, body: bytes, will_close: bool) -> None:
+    def on_response(self, connection: DiscoveryConnection, response: DiscoveryResponse) -> None:
         """Pass on a response and send the next poll, over a new connection if this one is to be closed."""
-        if status == 503:
+        if response.status == OVERLOADED_STATUS:
             self._on_overload()
             return
         try:
-            if status != 200:
-                raise ValueError(f"status {status}")
-            update = WorkerListUpdate(json.loads(body), self._clock_offset)
+            update = self._parse(response)
         except (ValueError, RecursionError) as error:
-            self.on_failure(
-                cast(DiscoveryConnection, self._connection), f"invalid response: {error}", resync=True
-            )
-            return
-        if self._index is None and not update.is_snapshot:
-            self.on_failure(
-                cast(DiscoveryConnection, self._connection),
-                "expected a snapshot but got a delta",
-                resync=True,
-            )
+            self.on_failure(connection, f"invalid response: {error}", resync=True)
             return
         if self._failing:
             log.info("discovery: recovered")
@@ -304,9 +225,20 @@
         if update.skipped_error and update.skipped_error != self._logged_skipped_error:
             log.warning("discovery: skipped a malformed entry: %s", update.skipped_error)
         self._logged_skipped_error = update.skipped_error
-        if will_close:
+        if response.will_close:
             self.start()  # the close was announced with the response, so it is no failure
         else:
-            self._poll(self._timing.poll_wait)  # before the callback, to follow the response at once
+            self._poll(
+                connection, self._timing.poll_wait
+            )  # before the callback, to follow the response at once
         self.response_received.set()
         self._on_update(update)
+
+    def _parse(self, response: DiscoveryResponse) -> WorkerListUpdate:
+        """Return the update in a response; a ValueError says why there is none that can be applied."""
+        if response.status != 200:
+            raise ValueError(f"status {response.status}")
+        update = WorkerListUpdate(json.loads(response.body), self._clock_offset)
+        if self._index is None and not update.is_snapshot:
+            raise ValueError("expected a snapshot but got a delta")
+        return update
