The log tells how much of a response discovery had sent when a poll failed

Cause: 'response timed out' and 'closed by the service' read the same for a service that is silent and for one whose response is slow, or has an end that the gateway does not recognise. Change: each failure is logged with the time since its connect or poll, and the bytes received.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -309,6 +309,8 @@
             poll_count = len(discovery.polled_paths)
             discovery.publish()
             await wait_until(lambda: len(discovery.polled_paths) > poll_count)  # over a new connection
+            # The log tells a response that was cut off from a service that is silent.
+            await gateway.wait_for_log(f"with {len(head + body) - 9} bytes of a response")
             assert (await client.exchange("write")).status == 200
             discovery.raw_response = head + body
             await wait_until(lambda: discovery.publish() or worker.closed_count)
--- a/wrenladder/proxy/discovery_connection.py
+++ b/wrenladder/proxy/discovery_connection.py
@@ -42,7 +42,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._body_parts: list[bytes] = []
-        self._body_size = 0
+        self._body_size = self._received_size = 0  # bytes of the response; the latter with its framing
         self._complete = self._will_close = False  # the response; whether the service closes after it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -55,7 +55,8 @@
 
     def send_poll(self, path: str) -> None:
         """Send a GET request."""
-        self._body_parts, self._body_size, self._complete = [], 0, False
+        self._body_parts, self._complete = [], False
+        self._body_size = self._received_size = 0
         if self._transport is not None:
             self._transport.write(
                 f"GET {path} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n".encode()
@@ -66,6 +67,7 @@
         observer, parser = self._observer, self._parser
         if observer is None or parser is None:
             return
+        self._received_size += len(data)
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -96,6 +98,11 @@
         if observer is not None:
             observer.on_failure(self, f"connection lost: {exc or 'closed by the service'}")
 
+    @property
+    def received_size(self) -> int:
+        """Bytes received of the response to the latest poll, with its head."""
+        return self._received_size
+
     def close(self) -> None:
         """Close the connection and report nothing more of it."""
         self._observer = None
--- a/wrenladder/proxy/discovery_watch.py
+++ b/wrenladder/proxy/discovery_watch.py
@@ -132,7 +132,12 @@
         if resync:
             self._index = None
         if not self._failing:
-            log.warning("discovery: %s; keeping the list and trying again", reason)
+            log.warning(
+                "discovery: %s after %.2f s with %d bytes of a response; keeping the list and trying again",
+                reason,
+                now - self._operation_start,
+                connection.received_size,
+            )
         self._failing = True
         self._schedule(self._retry_delay(self._backoff, self._timing.max_backoff), self.start)
         self._backoff = min(self._timing.max_backoff, 2 * self._backoff)
