Responses of discovery that end with their connection are applied

Seen: where discovery's responses have no length, the worker list never changes. Cause: DiscoveryConnection had no eof_received, so the parser, which reports only the end of a response with a length, never completed one without. The end was reported as a failure. Change: ResponseFraming decides how a response is delimited, for workers and discovery alike. The end of the stream completes a response of discovery that has no length. Resets, and ends before a stated length, stay failures.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -203,6 +203,11 @@
         }
 
 
+def with_content_length(body: bytes) -> bytes:
+    """Return a response with this body and its length."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
 class StubDiscovery:
     """A discovery service that serves a worker list and answers long polls with its changes."""
 
@@ -211,6 +216,8 @@
         self.polled_paths: list[str] = []
         self.unresponsive = False
         self.raw_response: bytes | None = None  # sent in place of the worker list
+        self.format_response: Callable[[bytes], bytes] = with_content_length
+        self.closes_after_response = False
         self._changed = asyncio.Event()
         self._delta: list[Any] = []
         self._connections: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
@@ -269,11 +276,9 @@
             body = json.dumps(
                 {"index": self.index, "snapshot": "index=" not in path, "endpoints": entries, "novel": 1}
             ).encode()
-            writer.write(
-                self.raw_response
-                if self.raw_response is not None
-                else f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
-            )
+            writer.write(self.format_response(body) if self.raw_response is None else self.raw_response)
+            if self.closes_after_response:
+                return
 
 
 class HttpClient:
--- a/wrenladder/proxy/discovery_connection.py
+++ b/wrenladder/proxy/discovery_connection.py
@@ -8,6 +8,8 @@
 
 import httptools
 
+from wrenladder.proxy.response_framing import ResponseFraming
+
 MAX_RESPONSE_BODY = 4 * 1024 * 1024  # bytes
 
 
@@ -41,6 +43,7 @@
         self._address = address
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._framing = ResponseFraming()
         self._body_parts: list[bytes] = []
         self._body_size = self._received_size = 0  # bytes of the response; the latter with its framing
         self._complete = self._will_close = False  # the response; whether the service closes after it
@@ -55,6 +58,7 @@
 
     def send_poll(self, path: str) -> None:
         """Send a GET request."""
+        self._framing.reset()
         self._body_parts, self._complete = [], False
         self._body_size = self._received_size = 0
         if self._transport is not None:
@@ -74,10 +78,32 @@
             observer.on_failure(self, f"malformed response: {error}", resync=True)
             return
         if self._complete:
-            observer.on_response(
-                self,
-                DiscoveryResponse(parser.get_status_code(), b"".join(self._body_parts), self._will_close),
-            )
+            self._report_response()
+
+    def eof_received(self) -> bool:
+        """Handle the end of the service's stream, which completes a response without a length.
+
+        If it has cut off the body, that is no valid JSON.
+        """
+        if self._framing.ends_with_connection and not self._complete:
+            self._complete = self._will_close = True
+            self._report_response()
+        return False
+
+    def _report_response(self) -> None:
+        observer, parser = self._observer, self._parser
+        if observer is not None and parser is not None:
+            body = b"".join(self._body_parts)
+            observer.on_response(self, DiscoveryResponse(parser.get_status_code(), body, self._will_close))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note how the response is delimited."""
+        if not self._framing.head_complete:
+            self._framing.record_header(name.lower(), value)
+
+    def on_headers_complete(self) -> None:
+        """Note the end of the head."""
+        self._framing.head_complete = True
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body."""
--- a/wrenladder/proxy/worker_connection.py
+++ b/wrenladder/proxy/worker_connection.py
@@ -25,6 +25,7 @@
     MAX_HEADER_FIELDS,
     RAW_SIZE_FACTOR,
 )
+from wrenladder.proxy.response_framing import ResponseFraming
 
 if TYPE_CHECKING:
     from wrenladder.proxy.worker_pool import WorkerPool, WorkerProcess
@@ -57,10 +58,8 @@
         "_raw_size",
         "_interim_count",
         "_header_count",
+        "_framing",
         "_flushed",
-        "_head_complete",
-        "_body_framed",
-        "_will_close",
         "_complete",
         "_reusable",
         "_closed",
@@ -76,15 +75,16 @@
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._closed = False
         self._accounted_bytes = 0  # of an incomplete response
+        self._framing = ResponseFraming()
         self._reset()
 
     def _reset(self) -> None:
         self._response = WorkerResponse()
         self._body: bytes | bytearray = b""
         self._parsed_size = self._raw_size = self._interim_count = self._header_count = 0
-        # _flushed: the kernel has taken the whole request. _body_framed: Content-Length or Transfer-Encoding
-        # delimits the body. _will_close: the worker has announced that it closes the connection.
-        self._flushed = self._head_complete = self._body_framed = self._will_close = self._complete = False
+        self._framing.reset()
+        self._flushed = False  # whether the kernel has taken the whole request
+        self._complete = False  # the response
         self._reusable = True
 
     # Transport callbacks
@@ -133,7 +133,7 @@
         if self._complete:
             self._finish_attempt()
         elif self._raw_size > MAX_HEAD_BYTES + (
-            RAW_SIZE_FACTOR * self._pool.max_body_bytes if self._head_complete else 0
+            RAW_SIZE_FACTOR * self._pool.max_body_bytes if self._framing.head_complete else 0
         ):
             # Bounds memory: the parser buffers a header or trailer and reports it only once it is complete.
             self._abort_attempt(MALFORMED_RESPONSE)
@@ -151,12 +151,13 @@
         """Never give up a response: its request may have run."""
 
     def eof_received(self) -> bool:
-        """Handle the end of the worker's stream, which completes a response delimited by close.
+        """Handle the end of the worker's stream, which completes a response without a length.
 
-        Any other response is cut off by it.
+        The close must have been announced, since nothing else tells whether such a response is whole. Any
+        other response is cut off by it.
         """
-        delimited_by_close = self._head_complete and self._will_close and not self._body_framed
-        if self.attempt is not None and delimited_by_close and not self._complete:
+        completes = self._framing.ends_with_connection and self._framing.close_announced
+        if self.attempt is not None and completes and not self._complete:
             self._reusable = False
             self.on_message_complete()
             self._finish_attempt()
@@ -165,7 +166,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the attempt; the worker may have run it only if the kernel had taken the whole request."""
         if self.attempt is not None and self.transport is not None:
-            self._pool.idle_timeout.record_use(self._idle_time, not (self._head_complete or self._raw_size))
+            self._pool.idle_timeout.record_use(
+                self._idle_time, not (self._framing.head_complete or self._raw_size)
+            )
         self.transport = self._parser = None  # parser and protocol refer to each other
         self._abort_attempt(CONNECTION_LOST if self._flushed else UNREACHABLE)
         self._pool.remove(self)
@@ -180,9 +183,11 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers count towards the size limit and are dropped."""
         self._parsed_size += len(name) + len(value)
-        if self._parsed_size > MAX_HEAD_BYTES + (self._pool.max_body_bytes if self._head_complete else 0):
+        if self._parsed_size > MAX_HEAD_BYTES + (
+            self._pool.max_body_bytes if self._framing.head_complete else 0
+        ):
             raise ResponseTooLarge
-        if self._head_complete:
+        if self._framing.head_complete:
             return
         self._header_count += 1
         if self._header_count > MAX_HEADER_FIELDS:
@@ -194,14 +199,9 @@
             if PERCENTAGE_PATTERN.fullmatch(value):  # malformed values are ignored; the last valid one counts
                 self._response.metered_usage = float(value) / 100
         elif lower in HOP_BY_HOP_HEADERS:
-            if lower == b"content-length":
-                self._body_framed = True
-                if int(value) > self._pool.max_body_bytes:
-                    raise ResponseTooLarge  # before any of the body is read
-            elif lower == b"transfer-encoding":
-                self._body_framed = True
-            elif lower == b"connection" and value.lower() == b"close":
-                self._will_close = True
+            self._framing.record_header(lower, value)
+            if lower == b"content-length" and int(value) > self._pool.max_body_bytes:
+                raise ResponseTooLarge  # before any of the body is read
         elif lower != b"x-server-load":
             self._response.headers.append(b"%b: %b\r\n" % (name, value))
 
@@ -209,7 +209,8 @@
         """Store the status of the response."""
         if self._complete:
             return  # the status is that of an unrequested second response
-        self._head_complete, self._raw_size = True, 0
+        self._framing.head_complete = True
+        self._raw_size = 0
         self._response.status = cast(httptools.HttpResponseParser, self._parser).get_status_code()
 
     def on_body(self, data: bytes) -> None:
@@ -228,7 +229,7 @@
             if self._interim_count > MAX_INTERIM_RESPONSES:
                 raise ResponseTooLarge
             self._response = WorkerResponse()
-            self._head_complete = self._body_framed = self._will_close = False
+            self._framing.reset()
             self._raw_size = 0
             return
         self._complete = True
