The test of paced reading sends its flood while the gateway is stopped

Cause: a race in the test. The gateway had read the first request and found nothing unread behind it, since the rest had not arrived, so it was right to forward it. The test assumed that more would always be there. Change: the gateway is stopped (SIGSTOP) until the system has taken more than three requests. All assertions and bounds are as they were.

--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -1,6 +1,7 @@
 """Client connections: valid and invalid requests, pipelining, limits and timeouts."""
 
 import asyncio
+import signal
 
 import pytest
 from stand_ins import (
@@ -193,8 +194,14 @@
         worker = StubWorker("w", never_respond)
         async with running_gateway(worker) as (gateway, _, client):
             request = HttpClient.request_bytes("write", timeout="3.0", body=b"x" * 65536)
+            # The gateway is stopped until more has been sent than it reads ahead. Otherwise it may read the
+            # first request, and forward it, before the rest arrives.
+            await gateway.suspend()
             # Far more than the socket buffers hold: the rest stays with the client.
             client.send(request * 1500)
+            unsent = client.writer.transport.get_write_buffer_size
+            await wait_until(lambda: 1500 * len(request) - unsent() > 3 * len(request))
+            gateway.process.send_signal(signal.SIGCONT)
             # A close could not be seen behind so much input, so no request is forwarded.
             assert (await client.receive()).status == 503 and not worker.requests
             await asyncio.sleep(0.5)  # long enough to read it all if reading did not pause
