Interim responses ahead of discovery's response are skipped

Change: an interim response begins the next one, as in WorkerConnection. Measured: test_interim_responses_are_skipped failed before and passes.

--- a/tests/test_discovery_responses.py
+++ b/tests/test_discovery_responses.py
@@ -132,3 +132,14 @@
     connection.eof_received()
     connection.connection_lost(None)
     assert len(observer.failures) == 1 and not observer.responses
+
+
+# Guards against taking an interim response for the response to the poll, which then failed.
+def test_interim_responses_are_skipped():
+    observer, connection = connected()
+    connection.data_received(
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n"
+    )
+    connection.data_received(CLOSE_DELIMITED_HEAD + BODY)
+    connection.eof_received()
+    assert observer.responses == [DiscoveryResponse(200, BODY, will_close=True)] and not observer.failures
--- a/wrenladder/proxy/discovery_connection.py
+++ b/wrenladder/proxy/discovery_connection.py
@@ -113,9 +113,16 @@
         self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
-        """Note the end of a response; only now does the parser know whether the connection is kept alive."""
+        """Note the end of a response, or prepare for the next one if this one is interim (1xx).
+
+        Only now does the parser know whether the connection is kept alive.
+        """
+        parser = cast(httptools.HttpResponseParser, self._parser)
+        if 100 <= parser.get_status_code() < 200:
+            self._framing.reset()
+            return
         self._complete = True
-        self._will_close = not cast(httptools.HttpResponseParser, self._parser).should_keep_alive()
+        self._will_close = not parser.should_keep_alive()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection as a failure, unless the observer has closed it."""
