The response to a poll that has timed out is used if it still comes

Cause: a time-out began a new poll and also gave up the old one, with the same time-out each time. So a service that is slower than the time-out was never heard. Evidence: the log says 'timed out after 0.37 s with 217 bytes of a response': it was slow, not silent. Ruled out as a fix: letting bytes that arrive extend the time-out. Change: polls begin when they did, but the connection of one poll that has timed out is kept until it has been quiet for 1.8 s, and the first response counts. A head is limited in size, as it may now be received for longer. A series of late responses is logged once.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -24,6 +24,7 @@
 
 SCENARIO_TIMEOUT = 20.0  # seconds
 CONFIG_DIRECTORY = tempfile.TemporaryDirectory()  # removed when the test process exits
+PIECE_COUNT = 12  # of a response that the stub discovery service sends in pieces
 SETTINGS_DOCUMENT: dict[str, Any] = {
     "Caps": {
         "Cancel": True,
@@ -218,6 +219,8 @@
         self.raw_response: bytes | None = None  # sent in place of the worker list
         self.format_response: Callable[[bytes], bytes] = with_content_length
         self.closes_after_response = False
+        self.pause_between_pieces = 0.0  # seconds; a response then comes in `PIECE_COUNT` pieces
+        self.polls_awaited = 0  # number of later polls that have to come before a poll is answered
         self._changed = asyncio.Event()
         self._delta: list[Any] = []
         self._connections: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
@@ -263,6 +266,7 @@
         while (message := await read_message(reader)) is not None:
             path = message.start_line.split(" ")[1]
             self.polled_paths.append(path)
+            poll_number = len(self.polled_paths)
             if self.unresponsive:
                 continue
             if "index=" in path:
@@ -276,10 +280,21 @@
             body = json.dumps(
                 {"index": self.index, "snapshot": "index=" not in path, "endpoints": entries, "novel": 1}
             ).encode()
-            writer.write(self.format_response(body) if self.raw_response is None else self.raw_response)
+            await wait_until(lambda: len(self.polled_paths) >= poll_number + self.polls_awaited)  # noqa: B023
+            response = self.format_response(body) if self.raw_response is None else self.raw_response
+            await self._write(response, writer)
             if self.closes_after_response:
                 return
 
+    async def _write(self, response: bytes, writer: asyncio.StreamWriter) -> None:
+        if not self.pause_between_pieces:
+            writer.write(response)
+            return
+        piece_size = -(-len(response) // PIECE_COUNT)
+        for start in range(0, len(response), piece_size):
+            await asyncio.sleep(self.pause_between_pieces)
+            writer.write(response[start : start + piece_size])
+
 
 class HttpClient:
     """An HTTP client with one connection to the gateway."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -20,6 +20,7 @@
 from wrenladder.proxy.discovery_messages import WorkerListUpdate
 from wrenladder.proxy.discovery_timing import (
     EARLY_POLL_MIN_TIME_LEFT,
+    LATE_POLL_PATIENCE,
     LOCAL_AGENT_TIMING,
     POLL_DEADLINE,
     READ_GRACE,
@@ -448,11 +449,11 @@
     - "refused": the connection is reset at once.
 
     A long poll that is open at `failures_start` gets a new outcome then. The change of the worker list
-    happens at `changed_at`.
+    happens at `changed_at`. Each response arrives `response_time` seconds after it was made.
     """
 
-    def __init__(self, outcome_at, failures_start, changed_at, random):
-        self.clock = VirtualClockSelector()
+    def __init__(self, outcome_at, failures_start, changed_at, random, response_time=0.0):
+        self.clock, self.response_time = VirtualClockSelector(), response_time
         super().__init__(self.clock)
         self.outcome_at, self.failures_start, self.changed_at, self.random = (
             outcome_at,
@@ -515,17 +516,36 @@
         close_header = b"Connection: close\r\n" * (outcome == "ended")
         response = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n" % (status, len(body), close_header) + body
         if outcome not in ("reset", "refused"):
-            self.protocol.data_received(response[:-9] if outcome in ("half", "cut") else response)
+            self.deliver_later(response[:-9] if outcome in ("half", "cut") else response)
         if outcome in ("reset", "refused", "cut"):
             self.protocol.connection_lost(ConnectionResetError())
 
+    def deliver_later(self, data):
+        """Let a response arrive after the response time, at once if that is zero."""
+        if self.loop.response_time:
+            self.loop.call_later(self.loop.response_time, self.deliver, data)
+        else:
+            self.deliver(data)
+
+    def deliver(self, data):
+        """Let data arrive, unless the connection was closed meanwhile."""
+        if self.open:
+            self.protocol.data_received(data)
+
 
+MAX_SIMULATED_TIME = 100.0  # seconds; only ends a simulation in which the change is never known
 IMMEDIATE_FAILURES = ("busy", "busy", "reset", "cut", "malformed")  # noticed at once
 DELAYED_FAILURES = ("silent", "half", "lost", "dead")  # noticed at a time-out or a late reset
 
 
 def time_until_update(
-    seed, timing, delayed_failures=(), following_outcomes=(), earlier_failures=(), failures_until=0.0
+    seed,
+    timing,
+    delayed_failures=(),
+    following_outcomes=(),
+    earlier_failures=(),
+    failures_until=0.0,
+    response_time=0.0,
 ):
     """Return the seconds from a change until the watch reports it, in a simulation with this seed.
 
@@ -566,10 +586,13 @@
             loop, ("discovery", 1), 0.0, on_update, initial_index=1, random=random, timing=timing
         )
         watch.start()
-        await update_received.wait()
+        async with asyncio.timeout(MAX_SIMULATED_TIME):
+            await update_received.wait()
         watch.stop()
 
-    with contextlib.closing(ScriptedDiscoveryLoop(outcome_at, failures_start, changed_at, random)) as loop:
+    with contextlib.closing(
+        ScriptedDiscoveryLoop(outcome_at, failures_start, changed_at, random, response_time)
+    ) as loop:
         loop.run_until_complete(run_watch())
     return update_delays[0]
 
@@ -660,6 +683,25 @@
     )
 
 
+# Guards against a watch that gives up each poll of a slow service before its response.
+@pytest.mark.parametrize(
+    ("timing", "response_time", "failures"),
+    [
+        (LOCAL_AGENT_TIMING, 0.6, {}),
+        (LOCAL_AGENT_TIMING, LATE_POLL_PATIENCE, {}),
+        (LOCAL_AGENT_TIMING, LATE_POLL_PATIENCE, {"delayed_failures": ("silent", "lost")}),
+        (LOCAL_AGENT_TIMING, LATE_POLL_PATIENCE, {"delayed_failures": ("half",)}),
+        (SHARED_SERVICE_TIMING, 1.8, {}),
+        (SHARED_SERVICE_TIMING, 2.5, {}),
+    ],
+)
+def test_slow_service_is_heard_within_the_deadline_of_a_change(timing, response_time, failures):
+    assert (
+        max(time_until_update(seed, timing, response_time=response_time, **failures) for seed in range(150))
+        < UPDATE_DEADLINE
+    )
+
+
 @pytest.mark.parametrize("earlier_failures", [(), ("reset", "cut", "malformed"), ("refused",)])
 def test_unresponsive_local_agent_delays_a_change_less_than_a_drain_grace(earlier_failures):
     assert (
--- a/tests/test_discovery_responses.py
+++ b/tests/test_discovery_responses.py
@@ -4,6 +4,7 @@
 from stand_ins import StubDiscovery, StubWorker, gateway_config, run_scenario, start_gateway
 
 from wrenladder.proxy.discovery_connection import DiscoveryConnection, DiscoveryResponse
+from wrenladder.proxy.http_limits import MAX_HEAD_BYTES
 
 BODY = b'{"index": 2, "snapshot": false, "endpoints": [{"name": "w", "status": "removed"}]}'
 
@@ -67,7 +68,7 @@
 
     def on_connected(self, connection):
         """Send a poll."""
-        connection.send_poll("/v1/servers")
+        connection.send_poll("/v1/servers", timeout=1.0)
 
     def on_response(self, connection, response):
         """Record a response."""
@@ -91,7 +92,7 @@
 def connected():
     """Return an observer and its connection, over which a poll was sent."""
     observer = RecordingObserver()
-    connection = DiscoveryConnection(observer, ("discovery", 1))
+    connection = DiscoveryConnection(observer, ("discovery", 1), lambda: 0.0)
     connection.connection_made(StubTransport())
     return observer, connection
 
@@ -143,3 +144,21 @@
     connection.data_received(CLOSE_DELIMITED_HEAD + BODY)
     connection.eof_received()
     assert observer.responses == [DiscoveryResponse(200, BODY, will_close=True)] and not observer.failures
+
+
+# Guards against memory that grows as long as bytes come: a poll that has timed out may still receive them.
+@pytest.mark.parametrize(
+    "endless_part",
+    [b"X-Long: " + b"x" * 1000, b"x" * 1000, b"HTTP/1.1 100 Continue\r\n\r\n" * 40],
+    ids=["first-header", "header-in-pieces", "interim-responses"],
+)
+def test_endless_head_is_a_failure(endless_part):
+    observer, connection = connected()
+    if not endless_part.startswith(b"HTTP"):
+        connection.data_received(b"HTTP/1.1 200 OK\r\nX-First: ")
+    pieces = 0
+    while not observer.failures:
+        connection.data_received(endless_part)
+        pieces += 1
+        assert pieces * len(endless_part) <= MAX_HEAD_BYTES + len(endless_part)
+    assert "malformed response" in observer.failures[0] and not observer.responses
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -89,7 +89,7 @@
     ("make_connection", "partial_message"),
     [
         (lambda: ClientConnection(stub_server()), b"POST /write HTTP/1.1\r\nHost:"),
-        (lambda: DiscoveryConnection(stub_server(), ("h", 1)), b"HTTP/1.1 200 OK\r\nX"),
+        (lambda: DiscoveryConnection(stub_server(), ("h", 1), lambda: 0.0), b"HTTP/1.1 200 OK\r\nX"),
         (
             lambda: WorkerConnection(stub_server(), WorkerProcess("w", ("h", 1), None), stub_attempt()),
             b"HTTP/1.1 200 OK\r\nX",
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -198,9 +198,8 @@
         )
         watch = discovery_watch.DiscoveryWatch(loop, ("127.0.0.1", 9), 0.0, [].append, random=Random(seed))
         for _ in range(overload_responses):
-            watch.on_response(
-                DiscoveryConnection(watch, ("127.0.0.1", 9)), DiscoveryResponse(503, b"", will_close=False)
-            )
+            connection = DiscoveryConnection(watch, ("127.0.0.1", 9), loop.time)
+            watch.on_response(connection, DiscoveryResponse(503, b"", will_close=False))
         total_waits.append(sum(waits))
     assert sorted(total_waits)[len(total_waits) * 9 // 10] < max_total_wait
     assert FIRST_RESPONSE_TIMEOUT < 1.0  # all that a gateway with a worker list waits for
--- a/wrenladder/proxy/discovery_connection.py
+++ b/wrenladder/proxy/discovery_connection.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, cast
 
 import httptools
 
+from wrenladder.proxy.http_limits import MAX_HEAD_BYTES, RAW_SIZE_FACTOR
 from wrenladder.proxy.response_framing import ResponseFraming
 
 MAX_RESPONSE_BODY = 4 * 1024 * 1024  # bytes
@@ -36,11 +38,18 @@
 
 
 class DiscoveryConnection(asyncio.Protocol):
-    """A connection to the discovery service; it reports to its observer until that closes it."""
+    """A connection to the discovery service; it reports to its observer until that closes it.
 
-    def __init__(self, observer: ConnectionObserver, address: tuple[str, int]) -> None:
+    `quiet_since` is the time of the last byte received, or by which a response was due if none has come, in
+    seconds on `clock`.
+    """
+
+    def __init__(
+        self, observer: ConnectionObserver, address: tuple[str, int], clock: Callable[[], float]
+    ) -> None:
         self._observer: ConnectionObserver | None = observer
-        self._address = address
+        self._address, self._clock = address, clock
+        self.quiet_since = clock()
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._framing = ResponseFraming()
@@ -56,8 +65,9 @@
         else:
             self._observer.on_connected(self)
 
-    def send_poll(self, path: str) -> None:
-        """Send a GET request."""
+    def send_poll(self, path: str, timeout: float) -> None:
+        """Send a GET request, whose response is due within `timeout` seconds."""
+        self.quiet_since = self._clock() + timeout
         self._framing.reset()
         self._body_parts, self._complete = [], False
         self._body_size = self._received_size = 0
@@ -72,6 +82,7 @@
         if observer is None or parser is None:
             return
         self._received_size += len(data)
+        self.quiet_since = self._clock()
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -79,6 +90,11 @@
             return
         if self._complete:
             self._report_response()
+        elif self._received_size > MAX_HEAD_BYTES + (
+            RAW_SIZE_FACTOR * MAX_RESPONSE_BODY if self._framing.head_complete else 0
+        ):
+            # Bounds memory: the parser buffers a header or trailer and reports it only once it is complete.
+            observer.on_failure(self, "malformed response: too large", resync=True)
 
     def eof_received(self) -> bool:
         """Handle the end of the service's stream, which completes a response without a length.
--- a/wrenladder/proxy/discovery_timing.py
+++ b/wrenladder/proxy/discovery_timing.py
@@ -23,6 +23,10 @@
 POLL_DEADLINE = UPDATE_DEADLINE - 0.6
 # A poll that is brought forward to meet POLL_DEADLINE begins at a random time within this interval before it.
 EARLY_POLL_JITTER = 0.3  # seconds
+# How long a poll that has timed out may be quiet until a later one takes its place. Only one is kept at a
+# time, since the service may respond to all. UPDATE_DEADLINE has room for three such times: for a response
+# that stops half way after one, its patience, and the next response.
+LATE_POLL_PATIENCE = 1.8  # seconds
 EARLY_POLL_MIN_TIME_LEFT = 0.05  # seconds; a poll is not brought forward if less time is left
 
 
@@ -63,9 +67,13 @@
     5. A close that was announced with a response is no failure: the time until the next connection is
        established is subtracted from the wait of its first poll, so that 2 applies.
 
-    Not bounded: failures that last longer than in 1, more failures after a time-out than in 2 to 4, and a
-    second time-out. Polls frequent enough for these cases would keep an overloaded discovery service
-    unavailable to all gateways.
+    A service that is slower than a time-out is heard through the poll that has timed out, whose connection is
+    kept until it has been quiet for `LATE_POLL_PATIENCE`. A change is then known within twice the time that a
+    response takes: the response under way may be too old to contain it, but not the next one.
+
+    Not bounded: failures that last longer than in 1, more failures after a time-out than in 2 to 4, a second
+    time-out (polls frequent enough for these cases would keep an overloaded discovery service unavailable to
+    all gateways), and a service that is quiet for longer than `LATE_POLL_PATIENCE` before or in a response.
     """
 
     poll_wait: float  # for a long poll to stay open; an unresponsive service is noticed soon after it
--- a/wrenladder/proxy/discovery_watch.py
+++ b/wrenladder/proxy/discovery_watch.py
@@ -16,6 +16,7 @@
     EARLY_POLL_MIN_TIME_LEFT,
     INITIAL_BACKOFF,
     INITIAL_OVERLOAD_BACKOFF,
+    LATE_POLL_PATIENCE,
     MAX_OVERLOAD_BACKOFF,
     MIN_JITTER_FACTOR,
     MIN_JITTER_FACTOR_AT_MAX,
@@ -38,8 +39,12 @@
     overloaded for many seconds, in which it refuses every poll. Trade-off: if the service no longer knows the
     index, the list stays as it is.
 
-    A failure belongs to the connection on which it occurred. It is ignored if the watch no longer uses that
-    connection, so that the late end of an old connection doesn't affect the current one.
+    A poll that has timed out is sent again over another connection, but the connection of one such poll is
+    kept, so that a service which is slower than the time-out is heard as well. The first response counts, and
+    the connection on which it came is the only one from then on.
+
+    A failure belongs to the connection on which it occurred. It doesn't affect the current connection if it
+    comes on another one.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         )
         self._random, self._timing = random or Random(), timing
         self._connection: DiscoveryConnection | None = None
+        self._late_connection: DiscoveryConnection | None = None  # of a poll that has timed out
         self._index = initial_index  # of the current list; None: the snapshot has to be requested
         self._backoff, self._overload_backoff = INITIAL_BACKOFF, INITIAL_OVERLOAD_BACKOFF
         # Time of the last response or quick failure, such as a refused connection; at first, of the start.
@@ -68,18 +74,26 @@
         self._poll_deadline = math.inf  # after a time-out: the poll for what was missed has to begin by then
         self._timer: asyncio.TimerHandle | None = None
         self._connect_task: asyncio.Task[None] | None = None
-        self._failing = False
+        self._failing = False  # since the last response
+        self._failure_logged = False  # since the last response that came in time
         self._logged_skipped_error = ""  # the error of the last skipped entry, so that it is logged only once
         self.response_received = asyncio.Event()  # set once a valid response has been received
 
     def start(self) -> None:
-        """Connect, in place of any connection that exists or is being established."""
-        self.stop()
-        self._connection, self._operation_start = DiscoveryConnection(self, self._address), self._loop.time()
+        """Connect, in place of the current connection, or of one that is being established."""
+        self._stop_current()
+        self._connection, self._operation_start = (
+            DiscoveryConnection(self, self._address, self._loop.time),
+            self._loop.time(),
+        )
         self._connect_task = self._loop.create_task(self._connect(self._connection))
 
     def stop(self) -> None:
         """End the watch, for good or until the next start."""
+        self._stop_current()
+        self._close_late_connection()
+
+    def _stop_current(self) -> None:
         for handle in (self._timer, self._connect_task):
             if handle is not None:
                 handle.cancel()
@@ -94,12 +108,9 @@
         if address == self._address:
             return
         self.stop()
-        self._address, self._backoff, self._overload_backoff, self._failing = (
-            address,
-            INITIAL_BACKOFF,
-            INITIAL_OVERLOAD_BACKOFF,
-            False,
-        )
+        self._address = address
+        self._backoff, self._overload_backoff = INITIAL_BACKOFF, INITIAL_OVERLOAD_BACKOFF
+        self._failing = self._failure_logged = False
         self._index, self._last_contact, self._poll_deadline = None, self._loop.time(), math.inf
         self.start()
 
@@ -108,6 +119,11 @@
         if connection is not None:
             connection.close()
 
+    def _close_late_connection(self) -> None:
+        connection, self._late_connection = self._late_connection, None
+        if connection is not None:
+            connection.close()
+
     async def _connect(self, connection: DiscoveryConnection) -> None:
         host, port = self._address
         try:
@@ -117,31 +133,57 @@
             self.on_failure(connection, f"cannot connect: {error or 'timed out'}")
 
     def on_failure(self, connection: DiscoveryConnection, reason: str, resync: bool = False) -> None:
-        """Keep the current list and retry after a pause; `resync` requests the snapshot then.
+        """Keep the current list and retry after a pause; `resync` requests the snapshot then."""
+        if connection is self._late_connection:
+            self._close_late_connection()
+            return
+        if connection is not self._connection:
+            return
+        self._close_connection()
+        if resync:
+            self._index = None
+            self._close_late_connection()  # its poll asks for the changes since an index that is in doubt
+        self._retry(connection, reason)
 
-        If the failed operation began some time ago, the service may have been unresponsive since then.
+    def _on_timeout(self, connection: DiscoveryConnection) -> None:
+        """Poll again, and keep this connection, or an earlier one, in case its response still comes.
+
+        The earlier one is kept as long as it has not been quiet for too long, since a slow service would
+        respond to it first.
         """
         if connection is not self._connection:
             return
-        self._close_connection()
+        late = self._late_connection
+        if late is not None and self._loop.time() - late.quiet_since < LATE_POLL_PATIENCE:
+            self._close_connection()
+        else:
+            self._close_late_connection()
+            self._late_connection, self._connection = connection, None
+        self._retry(connection, "response timed out")
+
+    def _retry(self, connection: DiscoveryConnection, reason: str) -> None:
+        """Connect again after a pause.
+
+        If the failed operation began some time ago, the service may have been unresponsive since then.
+        """
         now = self._loop.time()
         if now - self._operation_start > self._timing.recovery_wait:
             self._poll_deadline = self._last_contact + POLL_DEADLINE
         else:
             self._last_contact = now
-        if resync:
-            self._index = None
-        if not self._failing:
-            log.warning(
-                "discovery: %s after %.2f s with %d bytes of a response; keeping the list and trying again",
-                reason,
-                now - self._operation_start,
-                connection.received_size,
-            )
+        self._log_failure(
+            f"{reason} after {now - self._operation_start:.2f} s with {connection.received_size} bytes of a"
+            " response"
+        )
         self._failing = True
         self._schedule(self._retry_delay(self._backoff, self._timing.max_backoff), self.start)
         self._backoff = min(self._timing.max_backoff, 2 * self._backoff)
 
+    def _log_failure(self, reason: str) -> None:
+        if not self._failure_logged:
+            log.warning("discovery: %s; keeping the list and trying again", reason)
+        self._failure_logged = True
+
     def _on_overload(self) -> None:
         """Retry after a pause with backoff and jitter: the discovery service is overloaded (503).
 
@@ -149,8 +191,7 @@
         gateways that retry once a second would keep it overloaded for good. Trade-off: the list may be some
         seconds older than necessary.
         """
-        if not self._failing:
-            log.warning("discovery: overloaded (status 503); keeping the list and trying again")
+        self._log_failure(f"overloaded (status {OVERLOADED_STATUS})")
         self._close_connection()
         self._failing, self._last_contact = True, self._loop.time()
         self._schedule(self._retry_delay(self._overload_backoff, MAX_OVERLOAD_BACKOFF), self.start)
@@ -199,32 +240,38 @@
                 f"{path}?index={self._index}&wait={int(wait * 1000)}",
                 wait + self._timing.response_grace,
             )
-        connection.send_poll(path)
+        connection.send_poll(path, timeout)
         self._operation_start = self._loop.time()
         # A service may stop responding without closing its connections, so every poll has a timeout. The
         # second, short timer lets an event loop that was stalled itself first read what has arrived.
         self._schedule(
             timeout,
-            lambda: self._schedule(READ_GRACE, lambda: self.on_failure(connection, "response timed out")),
+            lambda: self._schedule(READ_GRACE, lambda: self._on_timeout(connection)),
         )
 
     def on_response(self, connection: DiscoveryConnection, response: DiscoveryResponse) -> None:
         """Pass on a response and send the next poll, over a new connection if this one is to be closed."""
+        is_late = connection is self._late_connection
         if response.status == OVERLOADED_STATUS:
-            self._on_overload()
+            if is_late:
+                self._close_late_connection()
+            else:
+                self._on_overload()
             return
+        if is_late:
+            self._stop_current()
+            self._connection, self._late_connection = connection, None
         try:
             update = self._parse(response)
         except (ValueError, RecursionError) as error:
             self.on_failure(connection, f"invalid response: {error}", resync=True)
             return
-        if self._failing:
+        self._close_late_connection()
+        if self._failure_logged and not is_late:
             log.info("discovery: recovered")
-        self._failing, self._backoff, self._overload_backoff = (
-            False,
-            INITIAL_BACKOFF,
-            INITIAL_OVERLOAD_BACKOFF,
-        )
+            self._failure_logged = False
+        self._failing = False
+        self._backoff, self._overload_backoff = INITIAL_BACKOFF, INITIAL_OVERLOAD_BACKOFF
         self._last_contact, self._poll_deadline = self._loop.time(), math.inf
         self._index = update.index
         if update.skipped_error and update.skipped_error != self._logged_skipped_error:
