--- a/tests/scripted_discovery.py
+++ b/tests/scripted_discovery.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import selectors
+from dataclasses import dataclass
 from random import Random
 
 from wrenladder.proxy import discovery_watch
@@ -59,6 +60,7 @@
             random,
         )
         self.poll_times = []
+        self.transports = []  # of all connections that were established
 
     def time(self):
         """Return the virtual time."""
@@ -83,6 +85,7 @@
 
     def __init__(self, loop, protocol, first_outcome):
         self.loop, self.protocol, self.first_outcome, self.open = loop, protocol, first_outcome, True
+        loop.transports.append(self)
 
     def write(self, poll):
         """Receive a poll and schedule its outcome."""
@@ -115,6 +118,7 @@
         if outcome not in ("reset", "refused"):
             self.deliver_later(response[:-9] if outcome in ("half", "cut") else response)
         if outcome in ("reset", "refused", "cut"):
+            self.open = False
             self.protocol.connection_lost(ConnectionResetError())
 
     def deliver_later(self, data):
@@ -130,7 +134,13 @@
             self.protocol.data_received(data)
 
 
+MAX_RANDOM_RESPONSE_TIME = 3.0  # seconds
+RANDOM_RUN_STEP = 0.05  # seconds between changes of the response time
 MAX_SIMULATED_TIME = 100.0  # seconds; only ends a simulation in which the change is never known
+OUTCOMES = (
+    *("good", "ended", "late", "lost", "refused", "busy"),
+    *("malformed", "reset", "cut", "dead", "half", "silent"),
+)
 IMMEDIATE_FAILURES = ("busy", "busy", "reset", "cut", "malformed")  # noticed at once
 DELAYED_FAILURES = ("silent", "half", "lost", "dead")  # noticed at a time-out or a late reset
 
@@ -210,3 +220,52 @@
     with contextlib.closing(loop):
         loop.run_until_complete(run_watch())
     return loop.poll_times
+
+
+@dataclass
+class RandomRun:
+    """What a watch did in a simulation with random outcomes."""
+
+    indexes: list[int]  # of its updates
+    update_delay: float  # seconds from the change until the watch had it
+    most_open_connections: int
+    left_open: int  # connections after the watch was stopped
+
+
+def run_with_random_outcomes(seed, timing, changed_at):
+    """Run a watch until it knows a change, before which connects, polls and response times are random.
+
+    A response takes up to `MAX_RANDOM_RESPONSE_TIME`. From `changed_at` on, responses are valid and fast.
+    """
+    random, run = Random(seed), RandomRun([], 0.0, 0, 0)
+
+    def open_connections():
+        return sum(transport.open for transport in loop.transports)
+
+    def outcome_at(now):
+        return random.choice(OUTCOMES) if now < changed_at else "good"
+
+    async def run_watch():
+        watch = discovery_watch.DiscoveryWatch(
+            loop,
+            ("discovery", 1),
+            0.0,
+            lambda update: run.indexes.append(update.index),
+            initial_index=1,
+            random=random,
+            timing=timing,
+        )
+        watch.start()
+        async with asyncio.timeout(changed_at + MAX_SIMULATED_TIME):
+            while 2 not in run.indexes:
+                await asyncio.sleep(RANDOM_RUN_STEP)
+                is_slow = loop.time() < changed_at and random.random() < 0.5
+                loop.response_time = random.uniform(0.0, MAX_RANDOM_RESPONSE_TIME) if is_slow else 0.0
+                run.most_open_connections = max(run.most_open_connections, open_connections())
+        run.update_delay = loop.time() - changed_at
+        watch.stop()
+        run.left_open = open_connections()
+
+    with contextlib.closing(ScriptedDiscoveryLoop(outcome_at, 0.0, changed_at, random)) as loop:
+        loop.run_until_complete(run_watch())
+    return run
--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -9,6 +9,7 @@
     IMMEDIATE_FAILURES,
     ScriptedDiscoveryLoop,
     poll_times,
+    run_with_random_outcomes,
     time_until_update,
 )
 
@@ -179,6 +180,15 @@
     )
 
 
+@pytest.mark.parametrize("timing", [LOCAL_AGENT_TIMING, SHARED_SERVICE_TIMING])
+def test_after_random_failures_a_change_is_known_in_time_over_at_most_two_connections(timing):
+    for seed in range(40):
+        run = run_with_random_outcomes(seed, timing, changed_at=40.0)
+        assert run.update_delay < UPDATE_DEADLINE, seed
+        assert run.indexes == sorted(run.indexes), seed  # no older list after a newer one
+        assert run.most_open_connections <= 2 and run.left_open == 0, seed
+
+
 @pytest.mark.parametrize("earlier_failures", [(), ("reset", "cut", "malformed"), ("refused",)])
 def test_unresponsive_local_agent_delays_a_change_less_than_a_drain_grace(earlier_failures):
     assert (
