The test of unread replies makes its health checks over one connection

Cause: the amount of work. Traced: some 10,000 health checks, each over a new connection. Change: the checks go over one connection, and one for each client over a new one. The time limit, the number of clients and checks, and the bound on memory are as they were.

--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -26,6 +26,7 @@
 MAX_SOCKETS = 1024
 CLIENT_COUNT = 560  # fewer than the connection limit of the gateway with so many descriptors
 HEALTH_CHECK_COUNT = 5
+HEALTH_CHECK = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 CUSTOMER_COUNT = 25_000
 LEAVING_CLIENT_COUNT = 200
 BATCH_SIZE = 100  # requests that are sent at once
@@ -90,26 +91,38 @@
     run_scenario(scenario())
 
 
-async def wait_until_no_more_is_forwarded(gateway: GatewayProcess, worker: StubWorker) -> None:
-    """Wait until the worker gets no further request while the gateway answers some health checks."""
+async def wait_until_no_more_is_forwarded(
+    gateway: GatewayProcess, client: HttpClient, worker: StubWorker
+) -> None:
+    """Wait until the worker gets no further request while the gateway answers some health checks.
+
+    They come over the client's connection, and the last one over a new connection.
+    """
     request_count = -1
     while request_count != len(worker.requests):
         request_count = len(worker.requests)
         for _ in range(HEALTH_CHECK_COUNT):
-            assert await gateway.health_status() == 200
+            client.send(HEALTH_CHECK)
+            reply = await client.receive()
+            assert reply is not None and reply.status == 200
+    assert await gateway.health_status() == 200
 
 
 def test_hundreds_of_unread_replies_stay_within_the_memory_limit():
     async def scenario():
         worker = StubWorker("w", respond_with(body=b"x" * 65_536))
-        async with running_gateway(worker, sockets=MAX_SOCKETS, memory_mb=MIN_MEMORY_MB) as (gateway, _, _):
+        async with running_gateway(worker, sockets=MAX_SOCKETS, memory_mb=MIN_MEMORY_MB) as (
+            gateway,
+            _,
+            observer,
+        ):
             clients = []
             for _ in range(200):
                 clients.append(await gateway.connect())
                 clients[-1].writer.transport.pause_reading()
                 # More replies than the buffers of the two systems hold.
                 clients[-1].send(b"".join(HttpClient.request_bytes() for _ in range(100)))
-                await wait_until_no_more_is_forwarded(gateway, worker)
+                await wait_until_no_more_is_forwarded(gateway, observer, worker)
             assert memory_status(gateway, "VmHWM") < MIN_MEMORY_MB << 20
             close_all(clients)
 
