The random run of the watch goes on after the change, so that an older list could follow it

Cause: found in a second reading. The run ended with the first update of the new version, so the check that no older list follows a newer one could not fail. Change: the run goes on for the longest response time. The assertions are as they were.

--- a/tests/scripted_discovery.py
+++ b/tests/scripted_discovery.py
@@ -235,7 +235,8 @@
 def run_with_random_outcomes(seed, timing, changed_at):
     """Run a watch until it knows a change, before which connects, polls and response times are random.
 
-    A response takes up to `MAX_RANDOM_RESPONSE_TIME`. From `changed_at` on, responses are valid and fast.
+    A response takes up to `MAX_RANDOM_RESPONSE_TIME`. From `changed_at` on, responses are valid and fast. The
+    run ends only when no slower response from before can be under way any more.
     """
     random, run = Random(seed), RandomRun([], 0.0, 0, 0)
 
@@ -263,6 +264,7 @@
                 loop.response_time = random.uniform(0.0, MAX_RANDOM_RESPONSE_TIME) if is_slow else 0.0
                 run.most_open_connections = max(run.most_open_connections, open_connections())
         run.update_delay = loop.time() - changed_at
+        await asyncio.sleep(MAX_RANDOM_RESPONSE_TIME)
         watch.stop()
         run.left_open = open_connections()
 
