--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -351,6 +351,13 @@
         assert reply is not None
         return reply
 
+    async def health_status(self) -> int:
+        """Return the HTTP status of /healthz."""
+        self.send(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        reply = await self.receive()
+        assert reply is not None
+        return reply.status
+
     async def is_closed_by_gateway(self) -> bool:
         """Wait for the end of the connection and return whether nothing more was received before it."""
         try:
@@ -394,11 +401,9 @@
     async def health_status(self) -> int:
         """Return the HTTP status of /healthz."""
         client = await self.connect()
-        client.send(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
-        reply = await client.receive()
+        status = await client.health_status()
         client.writer.close()
-        assert reply is not None
-        return reply.status
+        return status
 
     async def suspend(self) -> None:
         """Stop the process (SIGSTOP); a signal takes effect some time after it was sent."""
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -26,7 +26,6 @@
 MAX_SOCKETS = 1024
 CLIENT_COUNT = 560  # fewer than the connection limit of the gateway with so many descriptors
 HEALTH_CHECK_COUNT = 5
-HEALTH_CHECK = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 CUSTOMER_COUNT = 25_000
 LEAVING_CLIENT_COUNT = 200
 BATCH_SIZE = 100  # requests that are sent at once
@@ -102,9 +101,7 @@
     while request_count != len(worker.requests):
         request_count = len(worker.requests)
         for _ in range(HEALTH_CHECK_COUNT):
-            client.send(HEALTH_CHECK)
-            reply = await client.receive()
-            assert reply is not None and reply.status == 200
+            assert await client.health_status() == 200
     assert await gateway.health_status() == 200
 
 
--- a/wrenladder/proxy/discovery_connection.py
+++ b/wrenladder/proxy/discovery_connection.py
@@ -9,7 +9,6 @@
 
 import httptools
 
-from wrenladder.proxy.http_limits import MAX_HEAD_BYTES, RAW_SIZE_FACTOR
 from wrenladder.proxy.response_framing import ResponseFraming
 
 MAX_RESPONSE_BODY = 4 * 1024 * 1024  # bytes
@@ -41,7 +40,8 @@
     """A connection to the discovery service; it reports to its observer until that closes it.
 
     `quiet_since` is the time of the last byte received, or by which a response was due if none has come, in
-    seconds on `clock`.
+    seconds on `clock`. `received_size` counts the bytes received of the response to the latest poll, with its
+    head.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._framing = ResponseFraming()
         self._body_parts: list[bytes] = []
-        self._body_size = self._received_size = 0  # bytes of the response; the latter with its framing
+        self._body_size = self.received_size = 0  # bytes of the response; the latter with its framing
         self._complete = self._will_close = False  # the response; whether the service closes after it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -70,7 +70,7 @@
         self.quiet_since = self._clock() + timeout
         self._framing.reset()
         self._body_parts, self._complete = [], False
-        self._body_size = self._received_size = 0
+        self._body_size = self.received_size = 0
         if self._transport is not None:
             self._transport.write(
                 f"GET {path} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n".encode()
@@ -81,7 +81,7 @@
         observer, parser = self._observer, self._parser
         if observer is None or parser is None:
             return
-        self._received_size += len(data)
+        self.received_size += len(data)
         self.quiet_since = self._clock()
         try:
             parser.feed_data(data)
@@ -90,10 +90,7 @@
             return
         if self._complete:
             self._report_response()
-        elif self._received_size > MAX_HEAD_BYTES + (
-            RAW_SIZE_FACTOR * MAX_RESPONSE_BODY if self._framing.head_complete else 0
-        ):
-            # Bounds memory: the parser buffers a header or trailer and reports it only once it is complete.
+        elif self.received_size > self._framing.max_received_size(MAX_RESPONSE_BODY):
             observer.on_failure(self, "malformed response: too large", resync=True)
 
     def eof_received(self) -> bool:
@@ -147,11 +144,6 @@
         if observer is not None:
             observer.on_failure(self, f"connection lost: {exc or 'closed by the service'}")
 
-    @property
-    def received_size(self) -> int:
-        """Bytes received of the response to the latest poll, with its head."""
-        return self._received_size
-
     def close(self) -> None:
         """Close the connection and report nothing more of it."""
         self._observer = None
--- a/wrenladder/proxy/discovery_watch.py
+++ b/wrenladder/proxy/discovery_watch.py
@@ -228,9 +228,8 @@
         responding is noticed no later than if the connection had been established at once.
         """
         wait = self._timing.poll_wait - (self._loop.time() - self._last_contact)
-        if self._failing:
-            wait = 0.0
-        self._poll(connection, max(self._timing.recovery_wait, wait))
+        recovery_wait = self._timing.recovery_wait
+        self._poll(connection, recovery_wait if self._failing else max(recovery_wait, wait))
 
     def _poll(self, connection: DiscoveryConnection, wait: float) -> None:
         """Request the snapshot or, if an index is known, the changes after it within `wait` seconds."""
@@ -278,11 +277,10 @@
             log.warning("discovery: skipped a malformed entry: %s", update.skipped_error)
         self._logged_skipped_error = update.skipped_error
         if response.will_close:
-            self.start()  # the close was announced with the response, so it is no failure
+            self.start()  # the close belongs to the response, so it is no failure
         else:
-            self._poll(
-                connection, self._timing.poll_wait
-            )  # before the callback, to follow the response at once
+            # Before the callback, to follow the response at once.
+            self._poll(connection, self._timing.poll_wait)
         self.response_received.set()
         self._on_update(update)
 
--- a/wrenladder/proxy/response_framing.py
+++ b/wrenladder/proxy/response_framing.py
@@ -1,7 +1,9 @@
-"""Which marks the end of an HTTP response: a length, or the end of the connection."""
+"""What marks the end of an HTTP response, and how many bytes may come before it."""
 
 from __future__ import annotations
 
+from wrenladder.proxy.http_limits import MAX_HEAD_BYTES, RAW_SIZE_FACTOR
+
 
 class ResponseFraming:
     """How a response is delimited (RFC 9112, section 6.3), from its head as far as it has been parsed.
@@ -32,3 +34,10 @@
     def ends_with_connection(self) -> bool:
         """Whether the orderly end of the connection completes the response."""
         return self.head_complete and not self._has_length
+
+    def max_received_size(self, max_body_bytes: int) -> int:
+        """Bytes that may be received of a response that is still incomplete, for a limit on its body.
+
+        Bounds memory: the parser buffers a header or trailer and reports it only once it is complete.
+        """
+        return MAX_HEAD_BYTES + (RAW_SIZE_FACTOR * max_body_bytes if self.head_complete else 0)
--- a/wrenladder/proxy/worker_connection.py
+++ b/wrenladder/proxy/worker_connection.py
@@ -23,7 +23,6 @@
     HOP_BY_HOP_HEADERS,
     MAX_HEAD_BYTES,
     MAX_HEADER_FIELDS,
-    RAW_SIZE_FACTOR,
 )
 from wrenladder.proxy.response_framing import ResponseFraming
 
@@ -132,12 +131,9 @@
                 return
         if self._complete:
             self._finish_attempt()
-        elif self._raw_size > MAX_HEAD_BYTES + (
-            RAW_SIZE_FACTOR * self._pool.max_body_bytes if self._framing.head_complete else 0
-        ):
-            # Bounds memory: the parser buffers a header or trailer and reports it only once it is complete.
-            self._abort_attempt(MALFORMED_RESPONSE)
-        elif not self._account_memory(len(self._body)):
+        elif self._raw_size > self._framing.max_received_size(
+            self._pool.max_body_bytes
+        ) or not self._account_memory(len(self._body)):
             self._abort_attempt(MALFORMED_RESPONSE)
 
     def _account_memory(self, size: int) -> bool:
